--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Installs from Debian's packages what the build and the tests need; does nothing when all is there.
+set -euo pipefail
+packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy curl
+    libabsl-dev libwebsocketpp-dev libasio-dev libcpp-httplib-dev libinih-dev libdocopt-dev libfmt-dev
+    nlohmann-json3-dev libxxhash-dev libssl-dev libcpputest-dev librapidcheck-dev)
+missing=()
+for package in "${packages[@]}"; do
+    if ! dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed'; then
+        missing+=("$package")
+    fi
+done
+if [ "${#missing[@]}" -gt 0 ]; then
+    apt-get update -q
+    apt-get install -y -q --no-install-recommends "${missing[@]}"
+fi
--- /dev/null
+++ b/src/base/address.cpp
@@ -0,0 +1,39 @@
+#include "base/address.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr int highestPort = 65535;
+
+    absl::Status invalid(std::string_view text, std::string_view why)
+    {
+        return absl::InvalidArgumentError(fmt::format("'{}' is not IP:PORT: {}", text, why));
+    }
+
+}
+
+absl::StatusOr<Address> parseAddress(std::string_view text)
+{
+    const size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return invalid(text, "no colon");
+    Address address;
+    address.host = std::string(text.substr(0, colon));
+    in_addr ignored {};
+    if (inet_pton(AF_INET, address.host.c_str(), &ignored) != 1)
+        return invalid(text, "the host is no IPv4 number");
+    const std::string_view digits = text.substr(colon + 1);
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), address.port);
+    if (error != std::errc() || end != digits.data() + digits.size())
+        return invalid(text, "the port is no number");
+    if (address.port < 1 || address.port > highestPort)
+        return invalid(text, "the port is not within 1 to 65535");
+    return address;
+}
+
+}
--- /dev/null
+++ b/src/base/logger.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string_view>
+
+namespace persimmonfield {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+// Sets the least level that is written, for the whole process.
+void setLogLevel(LogLevel level);
+
+// Sets the instance name that each line carries.
+void setLogInstance(std::string_view name);
+
+// Writes one JSON line to standard error: time, level, instance, event and the given fields.
+void log(LogLevel level, std::string_view event, const nlohmann::json& fields);
+
+}
--- /dev/null
+++ b/src/daemon/coordinationduty.cpp
@@ -0,0 +1,198 @@
+#include "daemon/coordinationduty.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr Milliseconds planInterval { 250 };
+    constexpr Milliseconds reportInterval { 200 };
+    constexpr Milliseconds suspicionLifetime { 1'000 };
+    // Suspicions go to so many instances, since the first may be the one that is lost.
+    constexpr size_t coordinatorsTold = 3;
+
+}
+
+CoordinationDuty::CoordinationDuty(ControlContext& context)
+    : context_(context)
+    , grants_(context.self, *context.authority)
+    , takeover_(context.self, context.timing)
+{
+}
+
+CoordinationDuty::~CoordinationDuty() { *isAlive_ = false; }
+
+void CoordinationDuty::followView()
+{
+    grants_.follow(*context_.view, context_.store->isStoreReachable(), BootClock::now(), wallClockNow());
+    isPlanDue_ = true;
+}
+
+void CoordinationDuty::step(TimePoint now)
+{
+    writeReleases();
+    if (!context_.authority->holdsLease(now))
+        return;
+    takeOver(now);
+    if (isPlanDue_ || now >= nextTablePlan_) {
+        isPlanDue_ = false;
+        nextTablePlan_ = now + planInterval;
+        grants_.follow(*context_.view, context_.store->isStoreReachable(), BootClock::now(), wallClockNow());
+        writeTables(now);
+    }
+}
+
+std::vector<InstanceId> CoordinationDuty::coordinators(const std::string& service, size_t count) const
+{
+    const TimePoint now = BootClock::now();
+    std::vector<std::pair<uint64_t, InstanceId>> ranked;
+    for (const auto& [name, node] : context_.view->nodes) {
+        const InstanceId id = instanceId(node->entry);
+        const auto suspected = suspectedUntil_.find(id);
+        const bool isSuspected = suspected != suspectedUntil_.end() && now < suspected->second;
+        if (node->entry.state == stored::State::Joined && !isSuspected)
+            ranked.emplace_back(coordinatorRank(service, id.name), id);
+    }
+    const size_t kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end());
+    std::vector<InstanceId> first;
+    for (size_t i = 0; i < kept; ++i)
+        first.push_back(ranked[i].second);
+    return first;
+}
+
+bool CoordinationDuty::isCoordinator(const std::string& service) const
+{
+    const auto first = coordinators(service, 1);
+    return !first.empty() && first.front() == context_.self;
+}
+
+std::set<std::string> CoordinationDuty::services() const
+{
+    std::set<std::string> names { teamHomeService };
+    for (const auto& [name, service] : context_.view->configuration->services) {
+        if (service.isKeyed())
+            names.insert(name);
+    }
+    return names;
+}
+
+void CoordinationDuty::takeOver(TimePoint now)
+{
+    std::map<std::string, bool> isMineByService;
+    const auto isMine = [&](const stored::NodeEntry& entry) {
+        const auto [known, isNew] = isMineByService.emplace(entry.service, false);
+        if (isNew)
+            known->second = isCoordinator(entry.service);
+        return known->second;
+    };
+    const TakeoverActions actions = takeover_.step(*context_.view, isMine, now);
+    for (const NodeWrite& write : actions.writes) {
+        const std::string value = nlohmann::json(write.entry).dump();
+        const bool isClaim = write.entry.state == stored::State::Claimed;
+        const nlohmann::json fields { { "instance", write.entry.name },
+            { "incarnation", write.entry.incarnation } };
+        context_.timeline->record(isClaim ? "takeover-claim" : "lapse-proven", fields);
+        context_.counters->counter(isClaim ? "takeover_claims_total" : "lapses_proven_total")++;
+        context_.store->write({ write.objectName, value, write.expectedVersion, write.entry.operationId },
+            [this, isAlive = isAlive_, name = write.objectName, value](const WriteResult& result, TimePoint) {
+                if (!*isAlive)
+                    return;
+                takeover_.writeEnded(name);
+                if (result.outcome == WriteOutcome::Applied)
+                    context_.noteWritten(name, value, result.version);
+            });
+    }
+    for (const PromiseAsk& ask : actions.asks) {
+        peer::PeerMessage message;
+        message.promiseRequest = peer::PromiseRequest { toMessage(ask.holder), toMessage(context_.self) };
+        context_.send(ask.witness, message);
+    }
+}
+
+void CoordinationDuty::writeTables(TimePoint now)
+{
+    for (const std::string& service : services()) {
+        if (!isCoordinator(service))
+            continue;
+        for (const TableWrite& write : planner_.step(*context_.view, service, now)) {
+            const std::string value = nlohmann::json(write.table).dump();
+            context_.timeline->record(
+                "partitions-planned", { { "table", write.objectName }, { "moves", write.moves } });
+            context_.counters->counter("partition_moves_planned_total") += write.moves;
+            context_.store->write({ write.objectName, value, write.expectedVersion, write.table.operationId },
+                [this, isAlive = isAlive_, name = write.objectName, value](
+                    const WriteResult& result, TimePoint) {
+                    if (!*isAlive)
+                        return;
+                    planner_.writeEnded(name);
+                    isPlanDue_ = true;
+                    if (result.outcome == WriteOutcome::Applied)
+                        context_.noteWritten(name, value, result.version);
+                });
+        }
+    }
+}
+
+void CoordinationDuty::writeReleases()
+{
+    for (const ReleaseWrite& release : grants_.releasesReady(*context_.view)) {
+        const std::string value = nlohmann::json(release.table).dump();
+        context_.store->write(
+            { release.objectName, value, release.expectedVersion, release.table.operationId },
+            [this, isAlive = isAlive_, release, value](const WriteResult& result, TimePoint) {
+                if (!*isAlive)
+                    return;
+                const bool tookEffect = result.outcome == WriteOutcome::Applied;
+                grants_.released(release, tookEffect, result.outcome != WriteOutcome::Unknown);
+                if (!tookEffect)
+                    return;
+                context_.counters->counter("partitions_handed_over_total")
+                    += static_cast<int64_t>(release.partitions.size());
+                context_.timeline->record("handed-over",
+                    { { "table", release.objectName }, { "partitions", release.partitions.size() } });
+                context_.noteWritten(release.objectName, value, result.version);
+            });
+    }
+}
+
+void CoordinationDuty::onSuspicion(const peer::Suspicion& suspicion, TimePoint now)
+{
+    const InstanceId holder = instanceId(suspicion.holder);
+    takeover_.suspected(holder, instanceId(suspicion.witness), now);
+    suspectedUntil_[holder] = now + suspicionLifetime;
+}
+
+void CoordinationDuty::onPromise(const peer::Promise& promise, TimePoint now)
+{
+    std::optional<Duration> since;
+    if (promise.sinceLastAckMs >= 0)
+        since = Milliseconds(promise.sinceLastAckMs);
+    takeover_.promised(instanceId(promise.holder), instanceId(promise.witness), since, now);
+}
+
+void CoordinationDuty::reportSuspects(const std::vector<InstanceId>& suspects, TimePoint now)
+{
+    if (now < nextReport_)
+        return;
+    nextReport_ = now + reportInterval;
+    for (const InstanceId& suspect : suspects) {
+        const KnownNode* known = context_.view->node(suspect);
+        if (!known || known->entry.state != stored::State::Joined)
+            continue;
+        suspectedUntil_[suspect] = now + suspicionLifetime;
+        peer::PeerMessage message;
+        message.suspicion = peer::Suspicion { toMessage(suspect), toMessage(context_.self) };
+        for (const InstanceId& coordinator : coordinators(known->entry.service, coordinatorsTold)) {
+            if (coordinator == context_.self)
+                takeover_.suspected(suspect, context_.self, now);
+            else
+                context_.send(coordinator, message);
+        }
+    }
+}
+
+bool CoordinationDuty::ownsNothing() const { return GrantKeeper::ownsNothing(*context_.view, context_.self); }
+
+}
--- /dev/null
+++ b/src/daemon/forwarder.cpp
@@ -0,0 +1,188 @@
+#include "daemon/forwarder.h"
+
+#include "daemon/framedbody.h"
+
+#include <utility>
+
+namespace persimmonfield {
+
+void CallGroup::end(int copy, Reply reply)
+{
+    {
+        std::lock_guard lock(mutex_);
+        ended_.push_back({ copy, std::move(reply) });
+    }
+    changed_.notify_all();
+}
+
+std::optional<CallGroup::Ended> CallGroup::wait(TimePoint until)
+{
+    std::unique_lock lock(mutex_);
+    const Duration patience = until - BootClock::now();
+    changed_.wait_for(lock, patience, [this] { return !ended_.empty(); });
+    if (ended_.empty())
+        return std::nullopt;
+    Ended first = std::move(ended_.front());
+    ended_.pop_front();
+    return first;
+}
+
+Forwarder::Forwarder(Gate& gate, PeerNetwork& network, Counters& counters)
+    : gate_(gate)
+    , network_(network)
+    , counters_(counters)
+{
+}
+
+Forwarder::CallId Forwarder::sendLocal(const peer::ForwardedRequest& request, const std::string& body,
+    TimePoint deadline, const std::shared_ptr<CallGroup>& group, int copy)
+{
+    GateRequest toGate;
+    toGate.request = request;
+    toGate.body = body;
+    toGate.deadline = deadline;
+    CallId call;
+    {
+        std::lock_guard lock(mutex_);
+        call.id = nextId_++;
+        localCalls_[call.id] = { request.requestId, toGate.isCancelled };
+    }
+    toGate.reply = [this, id = call.id, group, copy](Reply reply) {
+        {
+            std::lock_guard lock(mutex_);
+            localCalls_.erase(id);
+        }
+        group->end(copy, std::move(reply));
+    };
+    gate_.submit(std::move(toGate));
+    return call;
+}
+
+Forwarder::CallId Forwarder::sendRemote(const std::string& address, peer::ForwardedRequest request,
+    const std::string& body, TimePoint deadline, const std::shared_ptr<CallGroup>& group, int copy)
+{
+    CallId call;
+    call.link = network_.linkTo(address);
+    peer::PeerMessage message;
+    {
+        std::lock_guard lock(mutex_);
+        call.id = nextId_++;
+        request.id = call.id;
+        request.bodyLength = static_cast<int64_t>(body.size());
+        calls_[{ call.link, call.id }] = { group, copy, std::nullopt, BodyAssembler(0) };
+    }
+    message.forwardedRequest = std::move(request);
+    const SendState state = sendWithBody(network_, call.link, message, body, call.id, deadline);
+    // A gate starts a request only when it has all of it.
+    if (state != SendState::Sent && take({ call.link, call.id }))
+        group->end(copy, notRun(RefusalReason::LinkLost, "the owner's daemon was not reached"));
+    return call;
+}
+
+void Forwarder::cancel(const CallId& call)
+{
+    if (call.link != 0) {
+        if (!take({ call.link, call.id }))
+            return;
+        peer::PeerMessage message;
+        message.cancel = peer::Cancel { call.id };
+        network_.send(call.link, { message, {} });
+        return;
+    }
+    std::unique_lock lock(mutex_);
+    const auto found = localCalls_.find(call.id);
+    if (found == localCalls_.end())
+        return;
+    *found->second.isCancelled = true;
+    const std::string requestId = found->second.requestId;
+    lock.unlock();
+    gate_.cancel(requestId);
+}
+
+std::optional<Forwarder::Call> Forwarder::take(const CallKey& key)
+{
+    std::lock_guard lock(mutex_);
+    const auto found = calls_.find(key);
+    if (found == calls_.end())
+        return std::nullopt;
+    Call call = std::move(found->second);
+    calls_.erase(found);
+    return call;
+}
+
+void Forwarder::onAnswer(LinkId link, const peer::ForwardedAnswer& answer, const std::string& body)
+{
+    const CallKey key { link, answer.id };
+    {
+        std::lock_guard lock(mutex_);
+        const auto found = calls_.find(key);
+        if (found == calls_.end()) {
+            counters_.counter("answers_late_total")++;
+            return;
+        }
+        found->second.body = BodyAssembler(answer.bodyLength);
+        found->second.answer = answer;
+    }
+    addToAnswer(key, body, static_cast<int64_t>(body.size()) == answer.bodyLength);
+}
+
+void Forwarder::onAnswerChunk(LinkId link, const peer::BodyChunk& chunk, const std::string& body)
+{
+    addToAnswer({ link, chunk.id }, body, chunk.last);
+}
+
+void Forwarder::addToAnswer(const CallKey& key, const std::string& body, bool isLast)
+{
+    std::unique_lock lock(mutex_);
+    const auto found = calls_.find(key);
+    if (found == calls_.end() || !found->second.answer)
+        return;
+    const AssemblyState state = found->second.body.add(body, isLast);
+    if (state == AssemblyState::Incomplete)
+        return;
+    Call call = std::move(found->second);
+    calls_.erase(found);
+    lock.unlock();
+    if (state == AssemblyState::Broken)
+        return call.group->end(
+            call.copy, unknownOutcome(RefusalReason::AnswerLost, "the answer was cut off"));
+    Reply reply;
+    reply.isAnswer = true;
+    reply.status = static_cast<int>(call.answer->status);
+    reply.headers = std::move(call.answer->headers);
+    reply.body = call.body.takeBody();
+    call.group->end(call.copy, std::move(reply));
+}
+
+void Forwarder::onRefusal(LinkId link, const peer::Refusal& refusal)
+{
+    const auto call = take({ link, refusal.id });
+    if (!call)
+        return;
+    Reply reply;
+    reply.outcome = refusal.outcome;
+    reply.reason = refusalReason(refusal.reason);
+    reply.detail = refusal.detail;
+    call->group->end(call->copy, std::move(reply));
+}
+
+void Forwarder::onClosed(LinkId link, bool wasOpen)
+{
+    std::vector<Call> lost;
+    {
+        std::lock_guard lock(mutex_);
+        for (auto entry = calls_.lower_bound({ link, 0 });
+             entry != calls_.end() && entry->first.first == link;) {
+            lost.push_back(std::move(entry->second));
+            entry = calls_.erase(entry);
+        }
+    }
+    for (const Call& call : lost) {
+        const char* detail = "the connection to the owner's daemon was lost";
+        call.group->end(call.copy,
+            wasOpen ? unknownOutcome(RefusalReason::LinkLost, detail)
+                    : notRun(RefusalReason::LinkLost, detail));
+    }
+}
+
+}
--- /dev/null
+++ b/src/daemon/teamlimiter.cpp
@@ -0,0 +1,199 @@
+#include "daemon/teamlimiter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    // A request waits so long for tokens that the home expects soon, and so long for a home that is silent.
+    constexpr Milliseconds tokenPatience { 30 };
+    constexpr Milliseconds homePatience { 3'000 };
+    constexpr Milliseconds askInterval { 5 };
+    constexpr Milliseconds returnInterval { 50 };
+
+}
+
+TeamLimiter::TeamLimiter(TeamLimiterOptions options)
+    : options_(std::move(options))
+{
+}
+
+TeamLimiter::~TeamLimiter() { stop(); }
+
+void TeamLimiter::start()
+{
+    thread_ = std::thread([this] { runReturns(); });
+}
+
+void TeamLimiter::stop()
+{
+    {
+        std::lock_guard lock(mutex_);
+        isStopping_ = true;
+    }
+    changed_.notify_all();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+int TeamLimiter::partitionOf(const std::string& team)
+{
+    return FleetView::partitionOf(team, teamHomePartitions);
+}
+
+TeamLimiter::HomeId TeamLimiter::homeOf(const FleetView& view, const std::string& team) const
+{
+    const stored::PartitionRow* row = view.row(teamHomeService, partitionOf(team));
+    if (!row)
+        return {};
+    return { { row->owner, row->incarnation }, row->fence };
+}
+
+TeamLimiter::ShareState& TeamLimiter::shareOf(const FleetView& view, const std::string& team)
+{
+    ShareState& state = shares_[team];
+    const HomeId home = homeOf(view, team);
+    if (!(home == state.home)) {
+        state.home = home;
+        state.share.forgetHome();
+    }
+    return state;
+}
+
+RateDecision TeamLimiter::acquire(const std::string& team, TimePoint deadline)
+{
+    const TimePoint began = BootClock::now();
+    std::unique_lock lock(mutex_);
+    bool isWaiting = false;
+    RateDecision decision;
+    while (!isStopping_) {
+        const TimePoint now = BootClock::now();
+        const auto view = options_.view();
+        ShareState& state = shareOf(*view, team);
+        if (state.share.trySpend(now)) {
+            decision.verdict = RateVerdict::Admitted;
+            sendDemand(*view, team, state, now);
+            break;
+        }
+        if (!isWaiting)
+            state.share.addWaiter();
+        isWaiting = true;
+        const auto refusedUntil = state.share.refusedUntil();
+        const TimePoint patience = std::min(deadline, began + (refusedUntil ? tokenPatience : homePatience));
+        if (refusedUntil && *refusedUntil > patience) {
+            decision = { RateVerdict::Exceeded, *refusedUntil - now };
+            break;
+        }
+        if (now >= patience) {
+            decision.verdict = refusedUntil ? RateVerdict::Exceeded : RateVerdict::Unavailable;
+            break;
+        }
+        sendDemand(*view, team, state, now);
+        if (state.share.available(now) == 0)
+            changed_.wait_for(lock, askInterval);
+    }
+    if (isWaiting)
+        shares_[team].share.removeWaiter();
+    return decision;
+}
+
+void TeamLimiter::sendDemand(const FleetView& view, const std::string& team, ShareState& state, TimePoint now)
+{
+    const KnownNode* home = view.node(state.home.owner);
+    if (!home)
+        return;
+    const auto demand = state.share.demand(now);
+    if (!demand)
+        return;
+    const InstanceId self = options_.self();
+    if (state.home.owner == self) {
+        if (const auto answer = answerAsHome(team, nodeObject(self), *demand, now))
+            state.share.granted(demand->sequence, *answer, now);
+        return;
+    }
+    peer::ShareRequest request {};
+    request.team = team;
+    request.instance = toMessage(self);
+    request.sequence = demand->sequence;
+    request.wanted = demand->wanted;
+    request.spent = demand->spent;
+    request.returned = demand->returned;
+    peer::PeerMessage message;
+    message.shareRequest = request;
+    options_.network->send(options_.network->linkTo(home->entry.peerAddress), { message, {} });
+}
+
+std::optional<ShareAnswer> TeamLimiter::answerAsHome(
+    const std::string& team, const std::string& instance, const ShareDemand& demand, TimePoint now)
+{
+    const Permit permit = options_.authority->check({ teamHomeService, partitionOf(team) }, now);
+    const auto view = options_.view();
+    const auto configured = view->configuration->teams.find(team);
+    if (!permit.isGranted() || configured == view->configuration->teams.end())
+        return std::nullopt;
+    const int64_t rate = configured->second.ratePerSecond;
+    const int64_t burst = configured->second.burst;
+    auto found = homes_.find(team);
+    if (found == homes_.end() || found->second.fence != permit.fence) {
+        HomeState fresh { TeamHome(rate, burst, now), permit.fence, rate, burst };
+        found = homes_.insert_or_assign(team, std::move(fresh)).first;
+    }
+    HomeState& state = found->second;
+    if (state.rate != rate || state.burst != burst) {
+        state.home.reconfigure(rate, burst, now);
+        state.rate = rate;
+        state.burst = burst;
+    }
+    return state.home.request(instance, demand, now);
+}
+
+void TeamLimiter::onShareRequest(LinkId link, const peer::ShareRequest& request)
+{
+    const ShareDemand demand { request.sequence, request.wanted, request.spent, request.returned };
+    std::optional<ShareAnswer> answer;
+    {
+        std::lock_guard lock(mutex_);
+        answer
+            = answerAsHome(request.team, nodeObject(instanceId(request.instance)), demand, BootClock::now());
+    }
+    if (!answer)
+        return;
+    peer::ShareGrant grant {};
+    grant.team = request.team;
+    grant.home = toMessage(options_.self());
+    grant.sequence = request.sequence;
+    grant.tokens = answer->tokens;
+    grant.lifetimeMs = answer->lifetime.count();
+    grant.retryAfterMs = answer->retryAfter.count();
+    peer::PeerMessage message;
+    message.shareGrant = grant;
+    options_.network->send(link, { message, {} });
+}
+
+void TeamLimiter::onShareGrant(const peer::ShareGrant& grant)
+{
+    {
+        std::lock_guard lock(mutex_);
+        const auto found = shares_.find(grant.team);
+        if (found == shares_.end() || found->second.home.owner != instanceId(grant.home))
+            return;
+        const ShareAnswer answer { grant.tokens, Milliseconds(grant.lifetimeMs),
+            Milliseconds(grant.retryAfterMs) };
+        found->second.share.granted(grant.sequence, answer, BootClock::now());
+    }
+    changed_.notify_all();
+}
+
+void TeamLimiter::runReturns()
+{
+    std::unique_lock lock(mutex_);
+    while (!isStopping_) {
+        changed_.wait_for(lock, returnInterval);
+        const auto view = options_.view();
+        for (auto& [team, state] : shares_)
+            sendDemand(*view, team, state, BootClock::now());
+    }
+}
+
+}
--- /dev/null
+++ b/src/gate/gate.cpp
@@ -0,0 +1,319 @@
+#include "gate/gate.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr size_t queueCapacity = 1024;
+    constexpr Milliseconds longestWait { 2'000 };
+    constexpr Milliseconds healthInterval { 200 };
+    constexpr Milliseconds idleWait { 50 };
+    constexpr size_t recordCapacity = 200'000;
+    constexpr size_t cancellationCapacity = 256;
+
+    Reply refusalOf(AuthorityRefusal refusal)
+    {
+        switch (refusal) {
+        case AuthorityRefusal::NoLease:
+            return notRun(RefusalReason::NoLease, "this instance holds no lease");
+        case AuthorityRefusal::Moving:
+            return notRun(RefusalReason::Moving, "the partition is being handed over");
+        case AuthorityRefusal::NotOwner:
+        case AuthorityRefusal::None:
+            break;
+        }
+        return notRun(RefusalReason::NotOwner, "this instance does not own the partition");
+    }
+
+    PartitionId partitionOf(const GateRequest& request)
+    {
+        return { request.request.service, static_cast<int>(request.request.partition) };
+    }
+
+    bool isKeyed(const GateRequest& request) { return request.request.partition >= 0; }
+
+}
+
+Gate::Gate(GateOptions options)
+    : options_(std::move(options))
+    , cancellations_(cancellationCapacity)
+    , queue_(queueCapacity, longestWait)
+    , limit_(options_.slots)
+    , record_(recordCapacity)
+{
+}
+
+Gate::~Gate() { stop(); }
+
+void Gate::start()
+{
+    for (int i = 0; i < options_.slots; ++i)
+        threads_.emplace_back([this] { runWorker(); });
+    threads_.emplace_back([this] { runHealth(); });
+}
+
+void Gate::stop()
+{
+    {
+        std::lock_guard lock(mutex_);
+        isStopping_ = true;
+    }
+    workAvailable_.notify_all();
+    cancellations_.close();
+    for (std::thread& thread : threads_)
+        thread.join();
+    threads_.clear();
+    while (auto request = queue_.pop())
+        request->reply(notRun(RefusalReason::Stopping, "the instance stops"));
+}
+
+void Gate::submit(GateRequest request)
+{
+    const TimePoint now = BootClock::now();
+    if (isKeyed(request)) {
+        const Permit permit = options_.authority->check(partitionOf(request), now);
+        if (!permit.isGranted())
+            return request.reply(refusalOf(permit.refusal));
+    }
+    const std::string team = request.request.team;
+    std::optional<GateRequest> evicted;
+    {
+        std::lock_guard lock(mutex_);
+        if (isStopping_)
+            evicted = std::move(request);
+        else
+            evicted = queue_.push(team, std::move(request), now);
+    }
+    workAvailable_.notify_one();
+    if (evicted)
+        evicted->reply(notRun(RefusalReason::QueueFull, "too many requests wait for the backend server"));
+}
+
+void Gate::cancel(const std::string& requestId) { cancellations_.tryPush(requestId); }
+
+int Gate::load() const
+{
+    std::lock_guard lock(mutex_);
+    return static_cast<int>(queue_.size()) + limit_.inFlight();
+}
+
+std::optional<GateRequest> Gate::nextRequest()
+{
+    std::unique_lock lock(mutex_);
+    while (!isStopping_) {
+        if (queue_.size() > 0 && limit_.hasRoom()) {
+            limit_.begin();
+            return queue_.pop();
+        }
+        workAvailable_.wait_for(lock, idleWait);
+    }
+    return std::nullopt;
+}
+
+void Gate::runWorker()
+{
+    BackendServer server(options_.serverAddress);
+    while (auto request = nextRequest()) {
+        Reply reply = serve(server, *request);
+        workAvailable_.notify_one();
+        request->reply(std::move(reply));
+    }
+}
+
+// Decides at the last moment whether the request may still be written to the server. The concurrency limit
+// was charged for it already.
+Reply Gate::serve(BackendServer& server, const GateRequest& request)
+{
+    const auto refuse = [this](Reply reply) {
+        std::lock_guard lock(mutex_);
+        limit_.fail();
+        return reply;
+    };
+    if (*request.isCancelled)
+        return refuse(notRun(RefusalReason::Cancelled));
+    const TimePoint now = BootClock::now();
+    if (now >= request.deadline)
+        return refuse(notRun(RefusalReason::DeadlinePassed, "the deadline passed in the queue"));
+    Permit permit;
+    permit.leaseEnd = options_.authority->leaseEnd();
+    if (isKeyed(request))
+        permit = options_.authority->begin(partitionOf(request), now);
+    else if (!request.request.team.empty() && now >= permit.leaseEnd)
+        permit.refusal = AuthorityRefusal::NoLease;
+    if (!permit.isGranted())
+        return refuse(refusalOf(permit.refusal));
+    Reply reply;
+    if (auto repeat = refuseRepeat(request, permit))
+        reply = refuse(*std::move(repeat));
+    else
+        reply = execute(server, request, permit);
+    if (isKeyed(request))
+        options_.authority->end(partitionOf(request));
+    return reply;
+}
+
+std::optional<Reply> Gate::refuseRepeat(const GateRequest& request, const Permit& permit)
+{
+    if (request.request.idempotencyKey.empty() || request.request.idempotent)
+        return std::nullopt;
+    std::lock_guard lock(mutex_);
+    switch (record_.admit(request.request.team, request.request.idempotencyKey, permit.grantBegan)) {
+    case RecordDecision::Run:
+        return std::nullopt;
+    case RecordDecision::AlreadySeen:
+        return unknownOutcome(RefusalReason::AlreadySeen, "a request with this idempotency key came before");
+    case RecordDecision::MayHaveRunEarlier:
+        return unknownOutcome(
+            RefusalReason::MayHaveRunEarlier, "an earlier owner of the key may have run it");
+    case RecordDecision::KeyInvalid:
+        return notRun(RefusalReason::KeyInvalid, "the idempotency key is no UUIDv7");
+    }
+    return std::nullopt;
+}
+
+Reply Gate::execute(BackendServer& server, const GateRequest& request, const Permit& permit)
+{
+    ServerRequest toServer;
+    toServer.requestId = request.request.requestId;
+    toServer.method = request.request.method;
+    toServer.target = request.request.target;
+    toServer.headers = request.request.headers;
+    toServer.body = request.body;
+    toServer.partition = static_cast<int>(request.request.partition);
+    toServer.fence = permit.fence;
+    const TimePoint began = BootClock::now();
+    const bool isBoundByLease = isKeyed(request) || !request.request.team.empty();
+    const TimePoint end = isBoundByLease ? std::min(request.deadline, permit.leaseEnd) : request.deadline;
+    toServer.timeout = std::max<Duration>(Milliseconds(1), end - began);
+    ServerAnswer answer = executeGranted(server, toServer);
+    settle(answer, BootClock::now() - began);
+    if (answer.outcome == ServerOutcome::NotStarted) {
+        std::lock_guard lock(mutex_);
+        if (!request.request.idempotencyKey.empty())
+            record_.forget(request.request.team, request.request.idempotencyKey);
+        return notRun(answer.reason, answer.detail);
+    }
+    if (answer.outcome == ServerOutcome::Unknown)
+        return unknownOutcome(answer.reason, answer.detail);
+    Reply reply;
+    reply.isAnswer = true;
+    reply.status = answer.status;
+    reply.headers = std::move(answer.headers);
+    reply.body = std::move(answer.body);
+    return reply;
+}
+
+// A server that checks fences is told of the grant first, and once more when it has lost it by a restart.
+ServerAnswer Gate::executeGranted(BackendServer& server, const ServerRequest& request)
+{
+    const bool needsGrant = options_.serverChecksFences && request.partition >= 0;
+    if (!needsGrant)
+        return server.execute(request);
+    ServerAnswer answer;
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        const absl::Status granted = ensureGrant(server, request.partition, request.fence);
+        if (!granted.ok()) {
+            answer.outcome = ServerOutcome::NotStarted;
+            answer.reason = absl::IsFailedPrecondition(granted) ? RefusalReason::ServerStaleFence
+                                                                : RefusalReason::ServerUnreachable;
+            answer.detail = std::string(granted.message());
+            return answer;
+        }
+        answer = server.execute(request);
+        const bool lostGrant
+            = answer.outcome == ServerOutcome::NotStarted && answer.reason == RefusalReason::ServerStaleFence;
+        if (!lostGrant)
+            return answer;
+        std::lock_guard lock(mutex_);
+        grantedFences_.erase(request.partition);
+    }
+    return answer;
+}
+
+absl::Status Gate::ensureGrant(BackendServer& server, int partition, int64_t fence)
+{
+    {
+        std::lock_guard lock(mutex_);
+        const auto known = grantedFences_.find(partition);
+        if (known != grantedFences_.end() && known->second == fence)
+            return absl::OkStatus();
+    }
+    absl::Status status = server.grant(partition, fence);
+    if (status.ok()) {
+        options_.counters->counter("grants_total")++;
+        std::lock_guard lock(mutex_);
+        grantedFences_[partition] = fence;
+    }
+    return status;
+}
+
+void Gate::settle(const ServerAnswer& answer, Duration latency)
+{
+    options_.counters->counter("server_requests_total")++;
+    std::lock_guard lock(mutex_);
+    if (answer.outcome == ServerOutcome::Answered)
+        limit_.succeed(latency);
+    else if (answer.reason == RefusalReason::ServerShedding)
+        limit_.shed();
+    else
+        limit_.fail();
+}
+
+void Gate::runHealth()
+{
+    BackendServer server(options_.serverAddress);
+    TimePoint nextCheck = BootClock::now();
+    while (!cancellations_.isClosed()) {
+        const TimePoint now = BootClock::now();
+        if (now >= nextCheck) {
+            noteHealth(server.health());
+            nextCheck = now + healthInterval;
+        }
+        if (const auto requestId = cancellations_.pop(healthInterval / 2))
+            server.cancel(*requestId);
+        expireOverdue();
+    }
+}
+
+void Gate::expireOverdue()
+{
+    while (true) {
+        std::unique_lock lock(mutex_);
+        auto overdue = queue_.popOverdue(BootClock::now());
+        lock.unlock();
+        if (!overdue)
+            return;
+        overdue->reply(notRun(RefusalReason::QueueTimeout, "waited too long for the backend server"));
+    }
+}
+
+void Gate::noteHealth(const absl::StatusOr<ServerHealth>& health)
+{
+    if (isServerUp_.exchange(health.ok()) != health.ok())
+        options_.timeline->record(health.ok() ? "server-up" : "server-down", {});
+    if (!health.ok())
+        return;
+    isServerDraining_ = health->isDraining;
+    bool isRestarted = false;
+    {
+        std::lock_guard lock(mutex_);
+        isRestarted = !serverProcess_.empty() && serverProcess_ != health->process;
+        if (serverProcess_ != health->process) {
+            serverProcess_ = health->process;
+            grantedFences_.clear();
+            limit_.turnCold();
+        }
+        limit_.setBearable(health->isCold ? health->bearable : options_.slots);
+    }
+    if (isRestarted) {
+        options_.timeline->record("server-restarted", {});
+        if (options_.onServerRestart)
+            options_.onServerRestart();
+    }
+}
+
+}
--- /dev/null
+++ b/src/messages/reply.cpp
@@ -0,0 +1,86 @@
+#include "messages/reply.h"
+
+#include <array>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    struct ReasonToken {
+        RefusalReason reason;
+        std::string_view token;
+    };
+
+    constexpr std::array reasonTokens {
+        ReasonToken { RefusalReason::NoKey, "no-key" },
+        ReasonToken { RefusalReason::UnknownKey, "unknown-key" },
+        ReasonToken { RefusalReason::TeamNotAllowed, "team-not-allowed" },
+        ReasonToken { RefusalReason::NoRoute, "no-route" },
+        ReasonToken { RefusalReason::BadRequest, "bad-request" },
+        ReasonToken { RefusalReason::RateExceeded, "rate-exceeded" },
+        ReasonToken { RefusalReason::RateUnavailable, "rate-unavailable" },
+        ReasonToken { RefusalReason::NoConfiguration, "no-configuration" },
+        ReasonToken { RefusalReason::NoLease, "no-lease" },
+        ReasonToken { RefusalReason::NoOwner, "no-owner" },
+        ReasonToken { RefusalReason::NotOwner, "not-owner" },
+        ReasonToken { RefusalReason::Moving, "moving" },
+        ReasonToken { RefusalReason::QueueFull, "queue-full" },
+        ReasonToken { RefusalReason::QueueTimeout, "queue-timeout" },
+        ReasonToken { RefusalReason::DeadlinePassed, "deadline-passed" },
+        ReasonToken { RefusalReason::ServerUnreachable, "server-unreachable" },
+        ReasonToken { RefusalReason::ServerShedding, "server-shedding" },
+        ReasonToken { RefusalReason::ServerStaleFence, "server-stale-fence" },
+        ReasonToken { RefusalReason::ServerDraining, "server-draining" },
+        ReasonToken { RefusalReason::ServerFailed, "server-failed" },
+        ReasonToken { RefusalReason::AnswerLost, "answer-lost" },
+        ReasonToken { RefusalReason::AnswerTooLarge, "answer-too-large" },
+        ReasonToken { RefusalReason::LinkLost, "link-lost" },
+        ReasonToken { RefusalReason::AlreadySeen, "already-seen" },
+        ReasonToken { RefusalReason::MayHaveRunEarlier, "may-have-run-earlier" },
+        ReasonToken { RefusalReason::KeyInvalid, "idempotency-key-invalid" },
+        ReasonToken { RefusalReason::Quarantined, "quarantined" },
+        ReasonToken { RefusalReason::Cancelled, "cancelled" },
+        ReasonToken { RefusalReason::Stopping, "stopping" },
+        ReasonToken { RefusalReason::Internal, "internal" },
+    };
+
+    Reply refuse(peer::Outcome outcome, RefusalReason reason, std::string detail)
+    {
+        Reply reply;
+        reply.outcome = outcome;
+        reply.reason = reason;
+        reply.detail = std::move(detail);
+        return reply;
+    }
+
+}
+
+std::string_view refusalToken(RefusalReason reason)
+{
+    for (const ReasonToken& entry : reasonTokens) {
+        if (entry.reason == reason)
+            return entry.token;
+    }
+    return "internal";
+}
+
+RefusalReason refusalReason(std::string_view token)
+{
+    for (const ReasonToken& entry : reasonTokens) {
+        if (entry.token == token)
+            return entry.reason;
+    }
+    return RefusalReason::Internal;
+}
+
+Reply notRun(RefusalReason reason, std::string detail)
+{
+    return refuse(peer::Outcome::NotRun, reason, std::move(detail));
+}
+
+Reply unknownOutcome(RefusalReason reason, std::string detail)
+{
+    return refuse(peer::Outcome::Unknown, reason, std::move(detail));
+}
+
+}
--- /dev/null
+++ b/src/messages/reply.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "messages/generated/peer.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace persimmonfield {
+
+// Why the router refused a request. The token of each is part of the interface towards callers.
+enum class RefusalReason {
+    NoKey,
+    UnknownKey,
+    TeamNotAllowed,
+    NoRoute,
+    BadRequest,
+    RateExceeded,
+    RateUnavailable,
+    NoConfiguration,
+    NoLease,
+    NoOwner,
+    NotOwner,
+    Moving,
+    QueueFull,
+    QueueTimeout,
+    DeadlinePassed,
+    ServerUnreachable,
+    ServerShedding,
+    ServerStaleFence,
+    ServerDraining,
+    ServerFailed,
+    AnswerLost,
+    AnswerTooLarge,
+    LinkLost,
+    AlreadySeen,
+    MayHaveRunEarlier,
+    KeyInvalid,
+    Quarantined,
+    Cancelled,
+    Stopping,
+    Internal,
+};
+
+// The token sent to callers, as "rate-exceeded".
+std::string_view refusalToken(RefusalReason reason);
+
+// The reason of a token; Internal for one that is not known.
+RefusalReason refusalReason(std::string_view token);
+
+// How a request ended: with the backend server's answer, or refused by the router.
+struct Reply {
+    bool isAnswer = false;
+    int status = 0; // The answer's status.
+    std::vector<peer::HeaderField> headers;
+    std::string body;
+    peer::Outcome outcome = peer::Outcome::NotRun;
+    RefusalReason reason = RefusalReason::Internal;
+    std::string detail;
+
+    bool isNotRun() const { return !isAnswer && outcome == peer::Outcome::NotRun; }
+};
+
+// A refusal of a request that certainly did not run.
+Reply notRun(RefusalReason reason, std::string detail = {});
+
+// A refusal of a request that may have run.
+Reply unknownOutcome(RefusalReason reason, std::string detail = {});
+
+}
--- /dev/null
+++ b/src/ownership/grantkeeper.cpp
@@ -0,0 +1,150 @@
+#include "ownership/grantkeeper.h"
+
+#include "base/hashing.h"
+
+#include <set>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    InstanceId ownerOf(const stored::PartitionRow& row) { return { row.owner, row.incarnation }; }
+
+}
+
+GrantKeeper::GrantKeeper(InstanceId self, Authority& authority)
+    : self_(std::move(self))
+    , authority_(authority)
+{
+}
+
+void GrantKeeper::follow(const FleetView& view, bool mayRelease, TimePoint now, Milliseconds wallNow)
+{
+    std::set<PartitionId> owned;
+    const std::map<PartitionId, Grant> grants = authority_.grants();
+    for (const auto& [service, groups] : view.tables) {
+        for (const auto& group : groups) {
+            const auto first = static_cast<int>(group->table.firstPartition);
+            for (size_t i = 0; i < group->table.rows.size(); ++i) {
+                const stored::PartitionRow& row = group->table.rows[i];
+                if (ownerOf(row) != self_)
+                    continue;
+                const PartitionId partition { service, first + static_cast<int>(i) };
+                owned.insert(partition);
+                const auto known = grants.find(partition);
+                const bool isNew = known == grants.end() || known->second.fence != row.fence;
+                if (wasReleased(partition, row.fence))
+                    continue;
+                const Grant grant = isNew ? takeUp(partition, row.fence, now, wallNow) : known->second;
+                const bool isSeasoned = now - grant.takenUp >= shortestTenure;
+                followTarget(partition, row, group->version, mayRelease && isSeasoned);
+            }
+        }
+    }
+    for (const auto& [partition, grant] : grants) {
+        if (owned.count(partition) == 0) {
+            authority_.drop(partition);
+            releasing_.erase(partition);
+        }
+    }
+}
+
+bool GrantKeeper::wasReleased(const PartitionId& partition, int64_t fence) const
+{
+    const auto released = releasedFence_.find(partition);
+    return released != releasedFence_.end() && fence <= released->second;
+}
+
+Grant GrantKeeper::takeUp(const PartitionId& partition, int64_t fence, TimePoint now, Milliseconds wallNow)
+{
+    Grant grant;
+    grant.fence = fence;
+    grant.began = fence > 1 ? wallNow : Milliseconds(0);
+    grant.takenUp = now;
+    authority_.grant(partition, grant);
+    return grant;
+}
+
+void GrantKeeper::followTarget(
+    const PartitionId& partition, const stored::PartitionRow& row, int64_t tableVersion, bool mayRelease)
+{
+    const auto pending = releasing_.find(partition);
+    if (row.target.empty()) {
+        // A release write that expected an older version than this one certainly failed.
+        const bool isSettled = pending == releasing_.end() || pending->second.expectedVersion < tableVersion;
+        if (pending != releasing_.end() && isSettled) {
+            releasing_.erase(pending);
+            authority_.cancelRelease(partition);
+        }
+        return;
+    }
+    if (pending == releasing_.end() && mayRelease) {
+        releasing_[partition] = { row.fence, 0 };
+        authority_.beginRelease(partition);
+    }
+}
+
+std::vector<ReleaseWrite> GrantKeeper::releasesReady(const FleetView& view)
+{
+    std::vector<ReleaseWrite> writes;
+    for (const auto& [service, groups] : view.tables) {
+        for (const auto& group : groups) {
+            ReleaseWrite write { group->objectName, group->table, group->version, {} };
+            const auto first = static_cast<int>(group->table.firstPartition);
+            bool isWriteUnderWay = false;
+            for (size_t i = 0; i < group->table.rows.size(); ++i) {
+                const PartitionId partition { service, first + static_cast<int>(i) };
+                stored::PartitionRow& row = write.table.rows[i];
+                const auto pending = releasing_.find(partition);
+                if (pending == releasing_.end() || ownerOf(row) != self_)
+                    continue;
+                if (pending->second.expectedVersion >= group->version)
+                    isWriteUnderWay = true;
+                if (row.target.empty() || authority_.inFlight(partition) > 0)
+                    continue;
+                row.owner = std::exchange(row.target, {});
+                row.incarnation = std::exchange(row.targetIncarnation, {});
+                ++row.fence;
+                write.partitions.push_back(partition);
+            }
+            if (isWriteUnderWay || write.partitions.empty())
+                continue;
+            write.table.operationId = randomHex(16);
+            for (const PartitionId& partition : write.partitions)
+                releasing_[partition].expectedVersion = group->version;
+            writes.push_back(std::move(write));
+        }
+    }
+    return writes;
+}
+
+void GrantKeeper::released(const ReleaseWrite& release, bool tookEffect, bool isCertain)
+{
+    for (const PartitionId& partition : release.partitions) {
+        const auto pending = releasing_.find(partition);
+        if (pending == releasing_.end())
+            continue;
+        if (tookEffect) {
+            releasedFence_[partition] = pending->second.fence;
+            releasing_.erase(pending);
+            authority_.drop(partition);
+        } else if (isCertain) {
+            pending->second.expectedVersion = 0;
+        }
+    }
+}
+
+bool GrantKeeper::ownsNothing(const FleetView& view, const InstanceId& self)
+{
+    for (const auto& [service, groups] : view.tables) {
+        for (const auto& group : groups) {
+            for (const stored::PartitionRow& row : group->table.rows) {
+                if (ownerOf(row) == self)
+                    return false;
+            }
+        }
+    }
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/persimmonctl/configcommands.cpp
@@ -0,0 +1,237 @@
+#include "persimmonctl/configcommands.h"
+
+#include "config/configparser.h"
+#include "config/configstore.h"
+#include "persimmonctl/linediff.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+namespace {
+
+    namespace fs = std::filesystem;
+    using nlohmann::json;
+
+    constexpr Milliseconds callTimeout { 3'000 };
+    // Remembers in a directory which version its files were last compared with.
+    constexpr const char* versionFileName = ".persimmonfield-version";
+
+    struct LoadedDirectory {
+        std::vector<IniText> files;
+        std::vector<FileError> errors;
+    };
+
+    LoadedDirectory loadDirectory(const std::string& directory)
+    {
+        LoadedDirectory loaded;
+        std::error_code error;
+        std::vector<fs::path> paths;
+        for (const fs::directory_entry& entry : fs::directory_iterator(directory, error)) {
+            if (entry.path().extension() == ".ini")
+                paths.push_back(entry.path());
+        }
+        if (error)
+            loaded.errors.push_back({ directory, 0, error.message() });
+        std::sort(paths.begin(), paths.end());
+        for (const fs::path& path : paths) {
+            std::ifstream file(path, std::ios::binary);
+            if (!file)
+                loaded.errors.push_back({ path.string(), 0, "cannot be read" });
+            loaded.files.push_back(
+                { path.filename().string(), std::string(std::istreambuf_iterator<char>(file), {}) });
+        }
+        if (!error && paths.empty())
+            loaded.errors.push_back({ directory, 0, "holds no *.ini file" });
+        if (!loaded.errors.empty())
+            return loaded;
+        loaded.errors = parseConfiguration(loaded.files).errors;
+        return loaded;
+    }
+
+    void printErrors(const std::vector<FileError>& errors, bool asJson)
+    {
+        json list = json::array();
+        for (const FileError& error : errors) {
+            list.push_back({ { "file", error.file }, { "line", error.line }, { "cause", error.cause } });
+            if (!asJson)
+                fmt::print(stderr, "{}\n", error.text());
+        }
+        if (asJson)
+            fmt::print("{}\n", json { { "valid", errors.empty() }, { "errors", list } }.dump());
+    }
+
+    int64_t rememberedVersion(const std::string& directory)
+    {
+        std::ifstream file(fs::path(directory) / versionFileName);
+        int64_t version = 0;
+        file >> version;
+        return file ? version : 0;
+    }
+
+    void rememberVersion(const std::string& directory, int64_t version)
+    {
+        std::ofstream(fs::path(directory) / versionFileName) << version << "\n";
+    }
+
+    std::string timeText(int64_t sinceEpochMs)
+    {
+        const std::time_t seconds = sinceEpochMs / 1'000;
+        return fmt::format("{:%Y-%m-%d %H:%M:%S} UTC", fmt::gmtime(seconds));
+    }
+
+    std::string operatorName()
+    {
+        const char* name = std::getenv("USER");
+        return name && *name ? name : "operator";
+    }
+
+    ObjectReader readerOf(const ObjectClient& client)
+    {
+        return [&client](const std::string& name) { return client.read(name); };
+    }
+
+    ExitCode reportPlatform(const std::string& cause)
+    {
+        fmt::print(stderr, "persimmonctl: the platform's store: {}\n", cause);
+        return ExitCode::Platform;
+    }
+
+    std::string textOf(const std::vector<IniText>& files, const std::string& name)
+    {
+        for (const IniText& file : files) {
+            if (file.name == name)
+                return file.text;
+        }
+        return {};
+    }
+
+    // Who changed what meanwhile, as a difference from the files in force to those of the directory.
+    void explainConflict(
+        const ObjectClient& client, const stored::ConfigManifest& inForce, const std::vector<IniText>& mine)
+    {
+        fmt::print(stderr, "persimmonctl: version {} is in force, accepted {} from {}\n", inForce.version,
+            timeText(inForce.acceptedAtMs), inForce.author);
+        const auto theirs = readConfigFiles(inForce, readerOf(client));
+        if (!theirs.ok())
+            return;
+        std::vector<std::string> names;
+        for (const IniText& file : *theirs)
+            names.push_back(file.name);
+        for (const IniText& file : mine) {
+            if (std::find(names.begin(), names.end(), file.name) == names.end())
+                names.push_back(file.name);
+        }
+        for (const std::string& name : names) {
+            const std::string difference = lineDiff(textOf(*theirs, name), textOf(mine, name));
+            if (!difference.empty())
+                fmt::print(stderr, "{} (- in force, + yours):\n{}", name, difference);
+        }
+    }
+
+    ExitCode exitCodeOf(WriteOutcome outcome)
+    {
+        switch (outcome) {
+        case WriteOutcome::Applied:
+            return ExitCode::Ok;
+        case WriteOutcome::Conflict:
+            return ExitCode::Conflict;
+        case WriteOutcome::Refused:
+            return ExitCode::Platform;
+        case WriteOutcome::Unknown:
+            return ExitCode::Unknown;
+        }
+        return ExitCode::Unknown;
+    }
+
+}
+
+ExitCode checkCommand(const ConfigCommandOptions& options)
+{
+    const LoadedDirectory loaded = loadDirectory(options.directory);
+    printErrors(loaded.errors, options.asJson);
+    return loaded.errors.empty() ? ExitCode::Ok : ExitCode::Invalid;
+}
+
+ExitCode applyCommand(const ConfigCommandOptions& options)
+{
+    const LoadedDirectory loaded = loadDirectory(options.directory);
+    if (!loaded.errors.empty()) {
+        printErrors(loaded.errors, options.asJson);
+        return ExitCode::Invalid;
+    }
+    const ObjectClient client(options.platformUrl, callTimeout);
+    const int64_t expected = options.expectedVersion.value_or(rememberedVersion(options.directory));
+    const ApplyResult result = applyConfig(client, loaded.files, expected, operatorName());
+    if (result.outcome == WriteOutcome::Applied) {
+        rememberVersion(options.directory, result.manifest.version);
+        if (options.asJson)
+            fmt::print("{}\n", json { { "version", result.manifest.version } }.dump());
+        else
+            fmt::print("version {} is in force\n", result.manifest.version);
+    } else if (result.outcome == WriteOutcome::Conflict) {
+        explainConflict(client, result.manifest, loaded.files);
+    } else {
+        reportPlatform(result.detail);
+    }
+    return exitCodeOf(result.outcome);
+}
+
+ExitCode showCommand(const ConfigCommandOptions& options)
+{
+    const ObjectClient client(options.platformUrl, callTimeout);
+    const auto manifest = readCurrentManifest(readerOf(client));
+    if (!manifest.ok())
+        return reportPlatform(std::string(manifest.status().message()));
+    const auto files = readConfigFiles(*manifest, readerOf(client));
+    if (!files.ok())
+        return reportPlatform(std::string(files.status().message()));
+    if (!options.directory.empty()) {
+        for (const IniText& file : *files)
+            std::ofstream(fs::path(options.directory) / file.name, std::ios::binary) << file.text;
+        rememberVersion(options.directory, manifest->version);
+        return ExitCode::Ok;
+    }
+    json list = json::array();
+    for (const IniText& file : *files)
+        list.push_back({ { "name", file.name }, { "text", file.text } });
+    if (options.asJson) {
+        const json value { { "version", manifest->version }, { "author", manifest->author },
+            { "acceptedAtMs", manifest->acceptedAtMs }, { "files", list } };
+        fmt::print("{}\n", value.dump());
+        return ExitCode::Ok;
+    }
+    fmt::print("; version {}, accepted {} from {}\n", manifest->version, timeText(manifest->acceptedAtMs),
+        manifest->author);
+    for (const IniText& file : *files)
+        fmt::print("; file {}\n{}", file.name, file.text);
+    return ExitCode::Ok;
+}
+
+ExitCode historyCommand(const ConfigCommandOptions& options)
+{
+    const ObjectClient client(options.platformUrl, callTimeout);
+    const auto listing = client.list("config/history/");
+    if (!listing.ok())
+        return reportPlatform(std::string(listing.status().message()));
+    for (const peer::StoredObject& object : listing->objects) {
+        const json manifest = json::parse(object.value, nullptr, false);
+        if (options.asJson)
+            fmt::print("{}\n", manifest.dump());
+        else
+            fmt::print("{:6}  {}  {}\n", manifest.value("version", 0),
+                timeText(manifest.value("acceptedAtMs", int64_t { 0 })), manifest.value("author", ""));
+    }
+    return ExitCode::Ok;
+}
+
+}
--- /dev/null
+++ b/src/persimmonctl/main.cpp
@@ -0,0 +1,121 @@
+#include "persimmonctl/configcommands.h"
+#include "persimmonctl/fleetcommands.h"
+
+#include <absl/strings/numbers.h>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <map>
+#include <string>
+
+namespace {
+
+using namespace persimmonfield;
+using Arguments = std::map<std::string, docopt::value>;
+
+constexpr const char* usage = R"(The operator's tool of persimmonfield.
+
+Usage:
+  persimmonctl [--platform=URL] check DIR [--json]
+  persimmonctl [--platform=URL] apply DIR [--expect=VERSION] [--json]
+  persimmonctl [--platform=URL] show [--into=DIR] [--json]
+  persimmonctl [--platform=URL] history [--json]
+  persimmonctl [--platform=URL] status [--json]
+  persimmonctl [--platform=URL] timeline [--instance=NAME] [--kind=KIND] [--json]
+  persimmonctl [--platform=URL] key NAME TEAM [--json]
+  persimmonctl --help
+
+Options:
+  --platform=URL    The platform's object API; otherwise PERSIMMONFIELD_PLATFORM.
+  --expect=VERSION  The version that is to be replaced; otherwise the one last shown to the directory.
+  --into=DIR        Write the files in force into a directory instead of printing them.
+  --instance=NAME   Only events of this instance.
+  --kind=KIND       Only events of this kind.
+  --json            Print JSON for programs.
+  --help            This text.
+
+Exit codes:
+  0  done
+  1  wrong arguments
+  2  the files are not a valid configuration; each error names file, line and cause
+  3  another version is in force than was expected; nothing was changed
+  4  the platform's store was not reached; nothing was changed
+  5  the outcome of the change could not be found out: see 'show'
+)";
+
+std::string optional(const Arguments& arguments, const char* name)
+{
+    const docopt::value& value = arguments.at(name);
+    return value.isString() ? value.asString() : std::string();
+}
+
+std::string platformOf(const Arguments& arguments)
+{
+    const std::string given = optional(arguments, "--platform");
+    const char* fromEnvironment = std::getenv("PERSIMMONFIELD_PLATFORM");
+    return given.empty() && fromEnvironment ? fromEnvironment : given;
+}
+
+bool needsPlatform(const Arguments& arguments)
+{
+    return !arguments.at("check").asBool() && !arguments.at("key").asBool();
+}
+
+ExitCode runConfigCommand(const Arguments& arguments)
+{
+    ConfigCommandOptions options;
+    options.platformUrl = platformOf(arguments);
+    options.asJson = arguments.at("--json").asBool();
+    const bool shows = arguments.at("show").asBool();
+    options.directory = optional(arguments, shows ? "--into" : "DIR");
+    const std::string expected = optional(arguments, "--expect");
+    int64_t version = 0;
+    if (!expected.empty() && !absl::SimpleAtoi(expected, &version)) {
+        fmt::print(stderr, "persimmonctl: --expect must be a version number, not '{}'\n", expected);
+        return ExitCode::Arguments;
+    }
+    if (!expected.empty())
+        options.expectedVersion = version;
+    if (arguments.at("check").asBool())
+        return checkCommand(options);
+    if (arguments.at("apply").asBool())
+        return applyCommand(options);
+    return shows ? showCommand(options) : historyCommand(options);
+}
+
+ExitCode runCommand(const Arguments& arguments)
+{
+    if (needsPlatform(arguments) && platformOf(arguments).empty()) {
+        fmt::print(stderr, "persimmonctl: --platform or PERSIMMONFIELD_PLATFORM must be given\n");
+        return ExitCode::Arguments;
+    }
+    FleetCommandOptions options;
+    options.platformUrl = platformOf(arguments);
+    options.asJson = arguments.at("--json").asBool();
+    options.instanceFilter = optional(arguments, "--instance");
+    options.kindFilter = optional(arguments, "--kind");
+    if (arguments.at("status").asBool())
+        return statusCommand(options);
+    if (arguments.at("timeline").asBool())
+        return timelineCommand(options);
+    if (arguments.at("key").asBool())
+        return keyCommand(arguments.at("NAME").asString(), arguments.at("TEAM").asString(), options.asJson);
+    return runConfigCommand(arguments);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    try {
+        const Arguments arguments = docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, false);
+        return static_cast<int>(runCommand(arguments));
+    } catch (const docopt::DocoptExitHelp&) {
+        fmt::print("{}", usage);
+        return static_cast<int>(ExitCode::Ok);
+    } catch (const std::exception&) {
+        fmt::print(stderr, "{}", usage);
+        return static_cast<int>(ExitCode::Arguments);
+    }
+}
--- /dev/null
+++ b/src/platform/resolvedwrite.cpp
@@ -0,0 +1,63 @@
+#include "platform/resolvedwrite.h"
+
+#include <optional>
+#include <thread>
+
+namespace persimmonfield {
+namespace {
+
+    // Finds out whose value the object holds; nothing when the store could not be read.
+    std::optional<WriteResult> resolveByReading(const StoreCalls& calls, const IdentifiedWrite& write)
+    {
+        const auto object = calls.read(write.name);
+        if (!object.ok())
+            return std::nullopt;
+        const auto value = nlohmann::json::parse(object->value, nullptr, false);
+        if (value.is_object() && value.value("operationId", "") == write.operationId)
+            return WriteResult { WriteOutcome::Applied, object->version, {} };
+        return WriteResult { WriteOutcome::Unknown, 0, "another write followed" };
+    }
+
+}
+
+StoreCalls storeCalls(const ObjectClient& client, Milliseconds pause, Milliseconds patience)
+{
+    const TimePoint end = BootClock::now() + patience;
+    StoreCalls calls;
+    calls.write = [&client](const std::string& name, const std::string& value, int64_t expectedVersion) {
+        return client.write(name, value, expectedVersion);
+    };
+    calls.read = [&client](const std::string& name) { return client.read(name); };
+    calls.waitBeforeRetry = [pause, end] {
+        if (BootClock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(pause);
+        return true;
+    };
+    return calls;
+}
+
+WriteResult writeResolved(const StoreCalls& calls, const IdentifiedWrite& write)
+{
+    bool mayHaveApplied = write.mayHaveApplied;
+    while (true) {
+        WriteResult result = calls.write(write.name, write.value, write.expectedVersion);
+        if (result.outcome == WriteOutcome::Applied)
+            return result;
+        if (result.outcome == WriteOutcome::Conflict) {
+            if (!mayHaveApplied)
+                return result;
+            if (const auto resolved = resolveByReading(calls, write))
+                return *resolved;
+        }
+        if (result.outcome == WriteOutcome::Unknown)
+            mayHaveApplied = true;
+        if (!calls.waitBeforeRetry()) {
+            if (mayHaveApplied)
+                result.outcome = WriteOutcome::Unknown;
+            return result;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/routing/serverchoice.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/time.h"
+#include "membership/instance.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace persimmonfield {
+
+// Chooses among the servers of a service that is not divided by key by what this entrance sees itself, since
+// load reports lag: the better of two random ones by requests in flight and recent latency. A server that
+// fails or lags far behind the others is left out but for a probe now and then. Pure; not thread-safe.
+class ServerChoice {
+public:
+    // `random` answers evenly spread numbers.
+    explicit ServerChoice(std::function<uint64_t()> random);
+
+    // One of the servers, none of those in `excluded`; nothing when there is no other.
+    std::optional<InstanceId> choose(
+        const std::vector<InstanceId>& servers, const std::vector<InstanceId>& excluded, TimePoint now);
+
+    void began(const InstanceId& server);
+
+    // The server answered after that time.
+    void succeeded(const InstanceId& server, Duration latency, TimePoint now);
+
+    // The server gave no answer.
+    void failed(const InstanceId& server, TimePoint now);
+
+    // The request was given up before an answer; says nothing of the server's health.
+    void abandoned(const InstanceId& server, Duration elapsed, TimePoint now);
+
+    // A delay after which a second copy is worth sending: beyond the usual latency by far.
+    Duration hedgeDelay() const;
+
+private:
+    struct Observed {
+        int inFlight = 0;
+        Duration peakLatency { 0 }; // Rises at once, falls slowly.
+        TimePoint lastSample;
+        int failuresInRow = 0;
+        TimePoint leftOutUntil;
+    };
+
+    double cost(const InstanceId& server, TimePoint now);
+    bool isOutlier(const InstanceId& server, const std::vector<InstanceId>& servers, TimePoint now);
+    Duration medianLatency(const std::vector<InstanceId>& servers, TimePoint now);
+    void sample(Observed& observed, Duration latency, TimePoint now);
+
+    std::function<uint64_t()> random_;
+    std::map<InstanceId, Observed> observed_;
+    Duration usualLatency_ { 0 };
+    Duration usualDeviation_ { 0 };
+};
+
+}
--- /dev/null
+++ b/src/transport/peernetwork.cpp
@@ -0,0 +1,369 @@
+#include "transport/peernetwork.h"
+
+#include "base/hashing.h"
+#include "base/logger.h"
+
+#include <absl/status/status.h>
+#include <fmt/format.h>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+namespace {
+
+    using Client = websocketpp::client<websocketpp::config::asio_client>;
+    using Server = websocketpp::server<websocketpp::config::asio>;
+    using Handle = websocketpp::connection_hdl;
+
+    constexpr const char* secretHeader = "Persimmonfield-Peer-Secret";
+    constexpr long dialTimeoutMs = 700;
+    constexpr Milliseconds checkInterval { 100 };
+    constexpr Milliseconds pingInterval { 200 };
+    constexpr Milliseconds silenceBound { 800 };
+    // A link that carried no frame of ours for so long is no longer pinged.
+    constexpr Milliseconds activeFor { 5'000 };
+    constexpr size_t backlogLimit = 64 * 1024 * 1024;
+    constexpr size_t roomLimit = 1024 * 1024;
+
+    enum class LinkState {
+        Dialing,
+        Open,
+    };
+
+    struct Link {
+        LinkId id = 0;
+        std::string address; // Empty for a link that the other side dialed.
+        LinkState state = LinkState::Dialing;
+        Handle handle;
+        std::vector<std::string> waiting; // Encoded frames to send once open.
+        TimePoint lastSent;
+        TimePoint lastPing;
+        std::optional<TimePoint> unansweredSince; // The first ping after which nothing was received.
+    };
+
+}
+
+class PeerNetwork::Impl {
+public:
+    explicit Impl(PeerNetworkOptions options)
+        : options_(std::move(options))
+    {
+    }
+
+    absl::Status start()
+    {
+        prepare(client_);
+        prepare(server_);
+        server_.set_reuse_addr(true);
+        server_.set_validate_handler([this](const Handle& handle) { return hasSecret(handle); });
+        server_.set_open_handler([this](const Handle& handle) { accept(handle); });
+        client_.set_open_handler([this](const Handle& handle) { opened(handle); });
+        client_.set_fail_handler([this](const Handle& handle) { closed(handle); });
+        const auto port = static_cast<uint16_t>(options_.listenAddress.port);
+        std::error_code error;
+        const auto host = asio::ip::make_address(options_.listenAddress.host, error);
+        server_.listen(asio::ip::tcp::endpoint(host, port), error);
+        if (error)
+            return absl::UnavailableError(
+                fmt::format("cannot listen on {}: {}", options_.listenAddress.text(), error.message()));
+        server_.start_accept(error);
+        scheduleCheck();
+        thread_ = std::thread([this] { ioService_.run(); });
+        return absl::OkStatus();
+    }
+
+    void stop()
+    {
+        ioService_.stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+    LinkId linkTo(const std::string& address)
+    {
+        std::unique_lock lock(mutex_);
+        const auto known = byAddress_.find(address);
+        if (known != byAddress_.end())
+            return known->second;
+        std::error_code error;
+        auto connection = client_.get_connection("ws://" + address, error);
+        if (error)
+            return 0;
+        connection->append_header(secretHeader, options_.secret);
+        connection->set_open_handshake_timeout(dialTimeoutMs);
+        const LinkId id = addLink(connection->get_handle(), address, LinkState::Dialing);
+        lock.unlock();
+        client_.connect(connection);
+        return id;
+    }
+
+    bool send(LinkId id, const Frame& frame)
+    {
+        std::string bytes = encodeFrame(frame);
+        Handle handle;
+        bool isDialed = false;
+        {
+            std::lock_guard lock(mutex_);
+            const auto found = links_.find(id);
+            if (found == links_.end())
+                return false;
+            Link& link = found->second;
+            link.lastSent = BootClock::now();
+            if (link.state == LinkState::Dialing) {
+                link.waiting.push_back(std::move(bytes));
+                return true;
+            }
+            handle = link.handle;
+            isDialed = !link.address.empty();
+        }
+        return isDialed ? sendBytes(client_, handle, bytes) : sendBytes(server_, handle, bytes);
+    }
+
+    bool waitForRoom(LinkId id, TimePoint deadline)
+    {
+        while (true) {
+            const auto backlog = backlogOf(id);
+            if (!backlog)
+                return false;
+            if (*backlog <= roomLimit)
+                return true;
+            if (BootClock::now() >= deadline)
+                return false;
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
+    }
+
+private:
+    template <typename Endpoint> void prepare(Endpoint& endpoint)
+    {
+        endpoint.clear_access_channels(websocketpp::log::alevel::all);
+        endpoint.clear_error_channels(websocketpp::log::elevel::all);
+        endpoint.init_asio(&ioService_);
+        endpoint.set_max_message_size(largestFrame);
+        endpoint.set_tcp_post_init_handler([&endpoint](const Handle& handle) {
+            std::error_code ignored;
+            endpoint.get_con_from_hdl(handle)->get_raw_socket().set_option(
+                asio::ip::tcp::no_delay(true), ignored);
+        });
+        endpoint.set_message_handler(
+            [this](const Handle& handle, const typename Endpoint::message_ptr& message) {
+                received(handle, message->get_payload());
+            });
+        endpoint.set_pong_handler([this](const Handle& handle, const std::string&) { touch(handle); });
+        endpoint.set_close_handler([this](const Handle& handle) { closed(handle); });
+    }
+
+    template <typename Endpoint>
+    static bool sendBytes(Endpoint& endpoint, const Handle& handle, const std::string& bytes)
+    {
+        std::error_code error;
+        const auto connection = endpoint.get_con_from_hdl(handle, error);
+        if (error || connection->get_buffered_amount() > backlogLimit)
+            return false;
+        return !connection->send(bytes, websocketpp::frame::opcode::binary);
+    }
+
+    std::optional<size_t> backlogOf(LinkId id)
+    {
+        std::lock_guard lock(mutex_);
+        const auto found = links_.find(id);
+        if (found == links_.end())
+            return std::nullopt;
+        const Link& link = found->second;
+        if (link.state == LinkState::Dialing)
+            return link.waiting.size() * mostBodyBytesPerFrame;
+        std::error_code error;
+        if (link.address.empty()) {
+            const auto connection = server_.get_con_from_hdl(link.handle, error);
+            return error ? std::nullopt : std::optional(connection->get_buffered_amount());
+        }
+        const auto connection = client_.get_con_from_hdl(link.handle, error);
+        return error ? std::nullopt : std::optional(connection->get_buffered_amount());
+    }
+
+    bool hasSecret(const Handle& handle)
+    {
+        const std::string given = server_.get_con_from_hdl(handle)->get_request_header(secretHeader);
+        if (equalsInConstantTime(given, options_.secret))
+            return true;
+        options_.counters->counter("peer_links_refused_total")++;
+        return false;
+    }
+
+    // Call with the mutex held.
+    LinkId addLink(const Handle& handle, const std::string& address, LinkState state)
+    {
+        const LinkId id = nextId_++;
+        Link& link = links_[id];
+        link.id = id;
+        link.address = address;
+        link.state = state;
+        link.handle = handle;
+        link.lastSent = link.lastPing = BootClock::now();
+        byHandle_[handle] = id;
+        if (!address.empty())
+            byAddress_[address] = id;
+        return id;
+    }
+
+    void accept(const Handle& handle)
+    {
+        std::lock_guard lock(mutex_);
+        addLink(handle, {}, LinkState::Open);
+    }
+
+    void opened(const Handle& handle)
+    {
+        std::lock_guard lock(mutex_);
+        const auto id = byHandle_.find(handle);
+        if (id == byHandle_.end())
+            return;
+        Link& link = links_[id->second];
+        noteReceived(link);
+        for (const std::string& bytes : link.waiting)
+            sendBytes(client_, handle, bytes);
+        link.waiting.clear();
+        link.state = LinkState::Open;
+    }
+
+    void closed(const Handle& handle)
+    {
+        LinkId id = 0;
+        bool wasOpen = false;
+        {
+            std::lock_guard lock(mutex_);
+            const auto found = byHandle_.find(handle);
+            if (found == byHandle_.end())
+                return;
+            id = found->second;
+            wasOpen = links_[id].state == LinkState::Open;
+            removeLink(id);
+        }
+        options_.onClosed(id, wasOpen);
+    }
+
+    // Call with the mutex held.
+    void removeLink(LinkId id)
+    {
+        const Link& link = links_[id];
+        const auto current = byAddress_.find(link.address);
+        if (current != byAddress_.end() && current->second == id)
+            byAddress_.erase(current);
+        byHandle_.erase(link.handle);
+        links_.erase(id);
+    }
+
+    void touch(const Handle& handle)
+    {
+        std::lock_guard lock(mutex_);
+        const auto id = byHandle_.find(handle);
+        if (id != byHandle_.end())
+            noteReceived(links_[id->second]);
+    }
+
+    static void noteReceived(Link& link) { link.unansweredSince.reset(); }
+
+    void received(const Handle& handle, const std::string& payload)
+    {
+        LinkId id = 0;
+        {
+            std::lock_guard lock(mutex_);
+            const auto found = byHandle_.find(handle);
+            if (found == byHandle_.end())
+                return;
+            id = found->second;
+            noteReceived(links_[id]);
+        }
+        options_.counters->counter("peer_bytes_received_total") += static_cast<int64_t>(payload.size());
+        auto frame = decodeFrame(payload);
+        if (!frame.ok()) {
+            options_.counters->counter("peer_frames_refused_total")++;
+            log(LogLevel::Warning, "frame-refused", { { "cause", std::string(frame.status().message()) } });
+            return;
+        }
+        options_.onFrame(id, *std::move(frame));
+    }
+
+    void scheduleCheck()
+    {
+        client_.set_timer(checkInterval.count(), [this](const std::error_code& error) {
+            if (error)
+                return;
+            checkSilence();
+            scheduleCheck();
+        });
+    }
+
+    // Pings the dialed links in use and ends those from which nothing came for too long: something between
+    // the two ends may have lost track of the connection.
+    void checkSilence()
+    {
+        std::vector<Handle> toPing;
+        std::vector<Handle> toEnd;
+        {
+            std::lock_guard lock(mutex_);
+            const TimePoint now = BootClock::now();
+            for (auto& [id, link] : links_) {
+                if (link.state != LinkState::Open || link.address.empty() || now - link.lastSent > activeFor)
+                    continue;
+                if (link.unansweredSince && now - *link.unansweredSince > silenceBound) {
+                    toEnd.push_back(link.handle);
+                } else if (now - link.lastPing >= pingInterval) {
+                    link.lastPing = now;
+                    link.unansweredSince = link.unansweredSince.value_or(now);
+                    toPing.push_back(link.handle);
+                }
+            }
+        }
+        std::error_code error;
+        for (const Handle& handle : toPing)
+            client_.ping(handle, {}, error);
+        for (const Handle& handle : toEnd) {
+            options_.counters->counter("peer_links_silent_total")++;
+            const auto connection = client_.get_con_from_hdl(handle, error);
+            closed(handle);
+            if (!error && connection)
+                connection->terminate(std::make_error_code(std::errc::timed_out));
+        }
+    }
+
+    PeerNetworkOptions options_;
+    asio::io_service ioService_;
+    Client client_;
+    Server server_;
+    std::thread thread_;
+    std::mutex mutex_;
+    LinkId nextId_ = 1;
+    std::unordered_map<LinkId, Link> links_;
+    std::unordered_map<std::string, LinkId> byAddress_;
+    std::map<Handle, LinkId, std::owner_less<Handle>> byHandle_;
+};
+
+PeerNetwork::PeerNetwork(PeerNetworkOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options)))
+{
+}
+
+PeerNetwork::~PeerNetwork() { stop(); }
+
+absl::Status PeerNetwork::start() { return impl_->start(); }
+
+void PeerNetwork::stop() { impl_->stop(); }
+
+LinkId PeerNetwork::linkTo(const std::string& address) { return impl_->linkTo(address); }
+
+bool PeerNetwork::send(LinkId link, const Frame& frame) { return impl_->send(link, frame); }
+
+bool PeerNetwork::waitForRoom(LinkId link, TimePoint deadline) { return impl_->waitForRoom(link, deadline); }
+
+}
--- /dev/null
+++ b/src/transport/peernetwork.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/counters.h"
+#include "base/time.h"
+#include "messages/frame.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace persimmonfield {
+
+// Names one connection to or from another daemon; never used again for a second one. 0 names none.
+using LinkId = uint64_t;
+
+struct PeerNetworkOptions {
+    Address listenAddress;
+    std::string secret; // Shared by all daemons of the fleet.
+    Counters* counters = nullptr;
+    // Called on the network's own thread; must not block.
+    std::function<void(LinkId link, Frame frame)> onFrame;
+    std::function<void(LinkId link, bool wasOpen)> onClosed; // A link never open carried nothing.
+};
+
+// The connections to other daemons: one thread that listens, dials on demand, notices silent connections and
+// hands over whole frames.
+class PeerNetwork {
+public:
+    explicit PeerNetwork(PeerNetworkOptions options);
+    ~PeerNetwork();
+    PeerNetwork(const PeerNetwork&) = delete;
+    PeerNetwork& operator=(const PeerNetwork&) = delete;
+
+    // Unavailable when the address cannot be listened on.
+    absl::Status start();
+
+    void stop();
+
+    // The link to the daemon at that "IP:PORT", dialed when there is none yet.
+    LinkId linkTo(const std::string& address);
+
+    // Sends on the link, or queues while it is being dialed. False when the link is closed or its backlog is
+    // full.
+    bool send(LinkId link, const Frame& frame);
+
+    // Waits until the link's backlog is short, at most until `deadline`; false when it stayed long.
+    bool waitForRoom(LinkId link, TimePoint deadline);
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,9 @@
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+int main(int argc, char** argv)
+{
+    // RapidCheck keeps memory on purpose, which the runner would report as leaks.
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    return CommandLineTestRunner::RunAllTests(argc, argv);
+}
