Requests: stragglers are probed by copies, idle instances hold no tokens

Cause 1: a straggler was forgotten after about 0.7 s, and each of the nine entrances then gave it a request of a caller again. Cause 2: a team's bucket began to fill at its first use, and idle instances kept fetching a token ahead. Control: idle waits are longer and plans run only when something changed.

--- a/src/base/hashing.cpp
+++ b/src/base/hashing.cpp
@@ -40,7 +40,10 @@
     return CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
-uint64_t stableHash(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+uint64_t stableHash(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
 
 std::string randomHex(size_t bytes)
 {
--- a/src/base/logger.cpp
+++ b/src/base/logger.cpp
@@ -39,7 +39,10 @@
 
 }
 
-void setLogLevel(LogLevel level) { leastLevel = level; }
+void setLogLevel(LogLevel level)
+{
+    leastLevel = level;
+}
 
 void setLogInstance(std::string_view name)
 {
--- a/src/config/configparser.cpp
+++ b/src/config/configparser.cpp
@@ -280,6 +280,9 @@
 
 }
 
-ParsedConfiguration parseConfiguration(const std::vector<IniText>& files) { return Parser().parse(files); }
+ParsedConfiguration parseConfiguration(const std::vector<IniText>& files)
+{
+    return Parser().parse(files);
+}
 
 }
--- a/src/config/configstore.cpp
+++ b/src/config/configstore.cpp
@@ -13,7 +13,10 @@
     constexpr Milliseconds retryPause { 200 };
     constexpr Milliseconds retryPatience { 10'000 };
 
-    std::string chunkObject(const std::string& digest) { return "config/chunk/" + digest; }
+    std::string chunkObject(const std::string& digest)
+    {
+        return "config/chunk/" + digest;
+    }
 
     // Writes one immutable piece under the name of its hash; that it exists already is as good.
     absl::Status writeChunk(const ObjectClient& client, const std::string& name, const std::string& text)
@@ -60,7 +63,10 @@
 
 }
 
-std::string configHistoryObject(int64_t version) { return fmt::format("config/history/{:012}", version); }
+std::string configHistoryObject(int64_t version)
+{
+    return fmt::format("config/history/{:012}", version);
+}
 
 absl::StatusOr<std::vector<IniText>> readConfigFiles(
     const stored::ConfigManifest& manifest, const ObjectReader& read)
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -10,8 +10,9 @@
 namespace {
 
     constexpr size_t ringCapacity = 16'384;
-    constexpr Milliseconds tick { 10 };
+    constexpr Milliseconds tick { 20 };
     constexpr Milliseconds seedInterval { 500 };
+    constexpr Milliseconds watchCheckInterval { 100 };
     constexpr int mostEventsPerStep = 256;
     constexpr size_t incarnationBytes = 8;
 
@@ -47,7 +48,10 @@
     };
 }
 
-Control::~Control() { stop(); }
+Control::~Control()
+{
+    stop();
+}
 
 void Control::start()
 {
@@ -142,7 +146,10 @@
 void Control::updateSharedState(TimePoint now)
 {
     knownRevision_ = context_.mirror.revision();
-    shouldWatch_ = gossip_.shouldWatch(now);
+    if (now >= nextWatchCheck_) {
+        nextWatchCheck_ = now + watchCheckInterval;
+        shouldWatch_ = gossip_.shouldWatch(now);
+    }
     if (!context_.isStopping || hasDeparted_ || !coordination_->ownsNothing())
         return;
     context_.timeline->record("departed", { { "incarnation", context_.self.incarnation } });
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -74,6 +74,7 @@
     std::unique_ptr<CoordinationDuty> coordination_;
     bool isViewDirty_ = false;
     TimePoint nextSeedRound_;
+    TimePoint nextWatchCheck_;
     int64_t configVersion_ = 0;
     std::atomic<int64_t> knownRevision_ { 0 };
     std::atomic<bool> shouldWatch_ { true };
--- a/src/daemon/coordinationduty.cpp
+++ b/src/daemon/coordinationduty.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr Milliseconds planInterval { 250 };
+    constexpr Milliseconds takeoverInterval { 40 };
     constexpr Milliseconds reportInterval { 200 };
     constexpr Milliseconds suspicionLifetime { 1'000 };
     // Suspicions go to so many instances, since the first may be the one that is lost.
@@ -21,7 +22,10 @@
 {
 }
 
-CoordinationDuty::~CoordinationDuty() { *isAlive_ = false; }
+CoordinationDuty::~CoordinationDuty()
+{
+    *isAlive_ = false;
+}
 
 void CoordinationDuty::followView()
 {
@@ -34,12 +38,15 @@
     writeReleases();
     if (!context_.authority->holdsLease(now))
         return;
-    takeOver(now);
+    if (now >= nextTakeover_) {
+        nextTakeover_ = now + takeoverInterval;
+        takeOver(now);
+    }
     if (isPlanDue_ || now >= nextTablePlan_) {
-        isPlanDue_ = false;
+        const bool viewChanged = std::exchange(isPlanDue_, false);
         nextTablePlan_ = now + planInterval;
         grants_.follow(*context_.view, context_.store->isStoreReachable(), BootClock::now(), wallClockNow());
-        writeTables(now);
+        writeTables(now, viewChanged);
     }
 }
 
@@ -111,10 +118,11 @@
     }
 }
 
-void CoordinationDuty::writeTables(TimePoint now)
+void CoordinationDuty::writeTables(TimePoint now, bool viewChanged)
 {
     for (const std::string& service : services()) {
-        if (!isCoordinator(service))
+        const bool isIdle = !viewChanged && planner_.isAtRest(service);
+        if (isIdle || !isCoordinator(service))
             continue;
         for (const TableWrite& write : planner_.step(*context_.view, service, now)) {
             const std::string value = nlohmann::json(write.table).dump();
@@ -193,6 +201,9 @@
     }
 }
 
-bool CoordinationDuty::ownsNothing() const { return GrantKeeper::ownsNothing(*context_.view, context_.self); }
+bool CoordinationDuty::ownsNothing() const
+{
+    return GrantKeeper::ownsNothing(*context_.view, context_.self);
+}
 
 }
--- a/src/daemon/coordinationduty.h
+++ b/src/daemon/coordinationduty.h
@@ -40,7 +40,7 @@
     bool isCoordinator(const std::string& service) const;
     std::set<std::string> services() const;
     void writeReleases();
-    void writeTables(TimePoint now);
+    void writeTables(TimePoint now, bool viewChanged);
     void takeOver(TimePoint now);
 
     ControlContext& context_;
@@ -50,6 +50,7 @@
     std::map<InstanceId, TimePoint> suspectedUntil_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
     TimePoint nextTablePlan_;
+    TimePoint nextTakeover_;
     TimePoint nextReport_;
     bool isPlanDue_ = true;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -106,7 +106,10 @@
 {
 }
 
-Daemon::~Daemon() { stop(); }
+Daemon::~Daemon()
+{
+    stop();
+}
 
 absl::Status Daemon::start()
 {
--- a/src/daemon/entrance.cpp
+++ b/src/daemon/entrance.cpp
@@ -80,7 +80,10 @@
 {
 }
 
-Entrance::~Entrance() { stop(); }
+Entrance::~Entrance()
+{
+    stop();
+}
 
 absl::Status Entrance::start()
 {
@@ -298,6 +301,10 @@
         std::lock_guard lock(mutex_);
         hedgeAt = first.began + choice_.hedgeDelay();
     }
+    if (mayHedge) {
+        if (const auto copy = probe(view, passage, group))
+            running.push_back(*copy);
+    }
     Reply last;
     while (!running.empty()) {
         const auto ended = group->wait(std::min(hedgeAt, passage.deadline));
@@ -336,6 +343,21 @@
     return last;
 }
 
+// Sends a further copy to a server that was left out, to see whether it has recovered.
+std::optional<Entrance::Copy> Entrance::probe(
+    const FleetView& view, Passage& passage, const std::shared_ptr<CallGroup>& group)
+{
+    std::optional<InstanceId> suspect;
+    {
+        std::lock_guard lock(mutex_);
+        suspect = choice_.dueProbe(serversOf(view, passage.routed.service), BootClock::now());
+        if (!suspect || !budget_.tryTake())
+            return std::nullopt;
+    }
+    options_.counters->counter("probes_total")++;
+    return sendCopy(view, passage, *suspect, group);
+}
+
 std::optional<Entrance::Copy> Entrance::hedge(
     const FleetView& view, Passage& passage, const Copy& first, const std::shared_ptr<CallGroup>& group)
 {
--- a/src/daemon/entrance.h
+++ b/src/daemon/entrance.h
@@ -80,6 +80,8 @@
         const std::shared_ptr<CallGroup>& group);
     Reply awaitCopies(
         const FleetView& view, Passage& passage, const Copy& first, const std::shared_ptr<CallGroup>& group);
+    std::optional<Copy> probe(
+        const FleetView& view, Passage& passage, const std::shared_ptr<CallGroup>& group);
     std::optional<Copy> hedge(
         const FleetView& view, Passage& passage, const Copy& first, const std::shared_ptr<CallGroup>& group);
     void noteEnd(const Passage& passage, const Copy& copy, const Reply& reply);
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -9,7 +9,7 @@
 
     constexpr size_t outgoingCapacity = 8192;
     constexpr int senderThreads = 4;
-    constexpr Milliseconds idleWait { 100 };
+    constexpr Milliseconds idleWait { 1'000 };
     constexpr Milliseconds sendPatience { 10'000 };
     // Announced bytes of requests that are not complete yet.
     constexpr int64_t mostAssemblingBytes = 512LL * 1024 * 1024;
@@ -22,7 +22,10 @@
 {
 }
 
-Gateway::~Gateway() { stop(); }
+Gateway::~Gateway()
+{
+    stop();
+}
 
 void Gateway::start()
 {
--- a/src/daemon/gossipduty.cpp
+++ b/src/daemon/gossipduty.cpp
@@ -15,7 +15,10 @@
     constexpr size_t watchersPerZone = 3;
     constexpr size_t mostDeltaBytes = 524'288;
 
-    uint64_t watcherRank(const std::string& name) { return stableHash("watcher\n" + name); }
+    uint64_t watcherRank(const std::string& name)
+    {
+        return stableHash("watcher\n" + name);
+    }
 
 }
 
--- a/src/daemon/leaseduty.cpp
+++ b/src/daemon/leaseduty.cpp
@@ -177,10 +177,14 @@
         return;
     nextWitnessCheck_ = now + witnessCheckInterval;
     if (holder_.hasProposal()) {
-        if (!writing_ && now - proposedAt_ > proposalPatience)
+        if (!writing_ && now - proposedAt_ > proposalPatience) {
             holder_.withdrawProposal();
+            witnessView_.reset();
+        }
         return;
     }
+    if (std::exchange(witnessView_, context_.view) == context_.view)
+        return;
     WitnessSet chosen = chooseWitnesses(context_.self, candidatesOf(*context_.view), holder_.currentSet());
     WitnessSet present = holder_.currentSet();
     std::sort(chosen.begin(), chosen.end());
@@ -251,8 +255,10 @@
     }
     const EntryWrite ended = *std::exchange(writing_, std::nullopt);
     if (result.outcome != WriteOutcome::Applied) {
-        if (ended.changesWitnesses)
+        if (ended.changesWitnesses) {
             holder_.withdrawProposal();
+            witnessView_.reset();
+        }
         nextWriteTry_ = now + writeRetryPause;
         return;
     }
--- a/src/daemon/leaseduty.h
+++ b/src/daemon/leaseduty.h
@@ -62,6 +62,7 @@
     TimePoint nextStoreRenewal_;
     TimePoint nextWriteTry_;
     TimePoint proposedAt_;
+    std::shared_ptr<const FleetView> witnessView_; // By which the witnesses were last chosen.
     bool holdsLease_ = false;
     bool isOver_ = false;
 };
--- a/src/daemon/operatorport.cpp
+++ b/src/daemon/operatorport.cpp
@@ -20,7 +20,10 @@
 {
 }
 
-OperatorPort::~OperatorPort() { stop(); }
+OperatorPort::~OperatorPort()
+{
+    stop();
+}
 
 absl::Status OperatorPort::start()
 {
--- a/src/daemon/storeworker.cpp
+++ b/src/daemon/storeworker.cpp
@@ -16,6 +16,7 @@
     constexpr Milliseconds retryPause { 100 };
     constexpr Milliseconds retryPatience { 3'000 };
     constexpr Milliseconds idlePause { 100 };
+    constexpr Milliseconds idleWait { 1'000 };
     constexpr Milliseconds reachableFor { 2'500 };
 
 }
@@ -26,7 +27,10 @@
 {
 }
 
-StoreWorker::~StoreWorker() { stop(); }
+StoreWorker::~StoreWorker()
+{
+    stop();
+}
 
 void StoreWorker::start()
 {
@@ -63,13 +67,16 @@
     return lastReached_ != 0 && BootClock::now() - reached < reachableFor;
 }
 
-void StoreWorker::noteReached() { lastReached_ = BootClock::now().time_since_epoch().count(); }
+void StoreWorker::noteReached()
+{
+    lastReached_ = BootClock::now().time_since_epoch().count();
+}
 
 void StoreWorker::runWriter()
 {
     const ObjectClient client(options_.platformUrl, callTimeout);
     while (!jobs_.isClosed()) {
-        auto job = jobs_.pop(idlePause);
+        auto job = jobs_.pop(idleWait);
         if (!job)
             continue;
         if (job->isRemoval) {
@@ -84,7 +91,10 @@
     }
 }
 
-void StoreWorker::pauseAfterFailure() { std::this_thread::sleep_for(idlePause); }
+void StoreWorker::pauseAfterFailure()
+{
+    std::this_thread::sleep_for(idlePause);
+}
 
 // Reads all objects once. The earliest revision of the listings counts: what changed between them comes again
 // with the watch.
--- a/src/daemon/teamlimiter.cpp
+++ b/src/daemon/teamlimiter.cpp
@@ -10,7 +10,8 @@
     constexpr Milliseconds tokenPatience { 30 };
     constexpr Milliseconds homePatience { 3'000 };
     constexpr Milliseconds askInterval { 5 };
-    constexpr Milliseconds returnInterval { 50 };
+    constexpr Milliseconds upkeepInterval { 50 };
+    constexpr Milliseconds homeCheckInterval { 200 };
 
 }
 
@@ -19,11 +20,14 @@
 {
 }
 
-TeamLimiter::~TeamLimiter() { stop(); }
+TeamLimiter::~TeamLimiter()
+{
+    stop();
+}
 
 void TeamLimiter::start()
 {
-    thread_ = std::thread([this] { runReturns(); });
+    thread_ = std::thread([this] { runUpkeep(); });
 }
 
 void TeamLimiter::stop()
@@ -124,14 +128,13 @@
     options_.network->send(options_.network->linkTo(home->entry.peerAddress), { message, {} });
 }
 
-std::optional<ShareAnswer> TeamLimiter::answerAsHome(
-    const std::string& team, const std::string& instance, const ShareDemand& demand, TimePoint now)
+// The home of the team's bucket, if this daemon may answer for it.
+TeamLimiter::HomeState* TeamLimiter::ownHome(const FleetView& view, const std::string& team, TimePoint now)
 {
     const Permit permit = options_.authority->check({ teamHomeService, partitionOf(team) }, now);
-    const auto view = options_.view();
-    const auto configured = view->configuration->teams.find(team);
-    if (!permit.isGranted() || configured == view->configuration->teams.end())
-        return std::nullopt;
+    const auto configured = view.configuration->teams.find(team);
+    if (!permit.isGranted() || configured == view.configuration->teams.end())
+        return nullptr;
     const int64_t rate = configured->second.ratePerSecond;
     const int64_t burst = configured->second.burst;
     auto found = homes_.find(team);
@@ -145,7 +148,16 @@
         state.rate = rate;
         state.burst = burst;
     }
-    return state.home.request(instance, demand, now);
+    return &state;
+}
+
+std::optional<ShareAnswer> TeamLimiter::answerAsHome(
+    const std::string& team, const std::string& instance, const ShareDemand& demand, TimePoint now)
+{
+    HomeState* state = ownHome(*options_.view(), team, now);
+    if (!state)
+        return std::nullopt;
+    return state->home.request(instance, demand, now);
 }
 
 void TeamLimiter::onShareRequest(LinkId link, const peer::ShareRequest& request)
@@ -185,14 +197,21 @@
     changed_.notify_all();
 }
 
-void TeamLimiter::runReturns()
+void TeamLimiter::runUpkeep()
 {
     std::unique_lock lock(mutex_);
     while (!isStopping_) {
-        changed_.wait_for(lock, returnInterval);
+        changed_.wait_for(lock, upkeepInterval);
         const auto view = options_.view();
+        const TimePoint now = BootClock::now();
         for (auto& [team, state] : shares_)
-            sendDemand(*view, team, state, BootClock::now());
+            sendDemand(*view, team, state, now);
+        if (now < nextHomeCheck_)
+            continue;
+        nextHomeCheck_ = now + homeCheckInterval;
+        // A bucket fills from when its home is taken up, not from its first use.
+        for (const auto& [team, configured] : view->configuration->teams)
+            ownHome(*view, team, now);
     }
 }
 
--- a/src/daemon/teamlimiter.h
+++ b/src/daemon/teamlimiter.h
@@ -35,7 +35,8 @@
 };
 
 // Charges teams' rates: spends this instance's shares, asks the teams' homes for more, and answers for the
-// homes that this daemon owns. Thread-safe; one thread gives unused tokens back.
+// homes that this daemon owns. Thread-safe; one thread gives unused
+// tokens back and keeps the homes ready.
 class TeamLimiter {
 public:
     explicit TeamLimiter(TeamLimiterOptions options);
@@ -72,18 +73,20 @@
 
     static int partitionOf(const std::string& team);
     HomeId homeOf(const FleetView& view, const std::string& team) const;
-    // The three below: call with the mutex held.
+    // The four below: call with the mutex held.
     ShareState& shareOf(const FleetView& view, const std::string& team);
     void sendDemand(const FleetView& view, const std::string& team, ShareState& state, TimePoint now);
+    HomeState* ownHome(const FleetView& view, const std::string& team, TimePoint now);
     std::optional<ShareAnswer> answerAsHome(
         const std::string& team, const std::string& instance, const ShareDemand& demand, TimePoint now);
-    void runReturns();
+    void runUpkeep();
 
     TeamLimiterOptions options_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, ShareState> shares_;
     std::map<std::string, HomeState> homes_;
+    TimePoint nextHomeCheck_;
     bool isStopping_ = false;
     std::thread thread_;
 };
--- a/src/gate/concurrencylimit.cpp
+++ b/src/gate/concurrencylimit.cpp
@@ -29,9 +29,15 @@
 {
 }
 
-int ConcurrencyLimit::limit() const { return std::min({ static_cast<int>(limit_), slots_, bearable_ }); }
+int ConcurrencyLimit::limit() const
+{
+    return std::min({ static_cast<int>(limit_), slots_, bearable_ });
+}
 
-void ConcurrencyLimit::begin() { ++inFlight_; }
+void ConcurrencyLimit::begin()
+{
+    ++inFlight_;
+}
 
 void ConcurrencyLimit::succeed(Duration latency)
 {
@@ -52,12 +58,25 @@
     limit_ = std::max(coldLimit, limit_ * shedFactor);
 }
 
-void ConcurrencyLimit::fail() { end(); }
+void ConcurrencyLimit::fail()
+{
+    end();
+}
 
-void ConcurrencyLimit::turnCold() { limit_ = coldLimit; }
+void ConcurrencyLimit::turnCold()
+{
+    limit_ = coldLimit;
+    bearable_ = 1;
+}
 
-void ConcurrencyLimit::setBearable(int requests) { bearable_ = std::max(1, requests); }
+void ConcurrencyLimit::setBearable(int requests)
+{
+    bearable_ = std::max(1, requests);
+}
 
-void ConcurrencyLimit::end() { inFlight_ = std::max(0, inFlight_ - 1); }
+void ConcurrencyLimit::end()
+{
+    inFlight_ = std::max(0, inFlight_ - 1);
+}
 
 }
--- a/src/gate/concurrencylimit.h
+++ b/src/gate/concurrencylimit.h
@@ -27,7 +27,8 @@
     // A request ended without an answer.
     void fail();
 
-    // The server turned cold, or its process is a new one: begin anew.
+    // The server was lost, or its process is a new one: begin anew, with one request at a time until the
+    // server says what it bears.
     void turnCold();
 
     // What the server says it bears while cold; the slots when it is warm.
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -11,7 +11,7 @@
     constexpr size_t queueCapacity = 1024;
     constexpr Milliseconds longestWait { 2'000 };
     constexpr Milliseconds healthInterval { 200 };
-    constexpr Milliseconds idleWait { 50 };
+    constexpr Milliseconds idleWait { 1'000 };
     constexpr size_t recordCapacity = 200'000;
     constexpr size_t cancellationCapacity = 256;
 
@@ -34,7 +34,10 @@
         return { request.request.service, static_cast<int>(request.request.partition) };
     }
 
-    bool isKeyed(const GateRequest& request) { return request.request.partition >= 0; }
+    bool isKeyed(const GateRequest& request)
+    {
+        return request.request.partition >= 0;
+    }
 
 }
 
@@ -47,7 +50,10 @@
 {
 }
 
-Gate::~Gate() { stop(); }
+Gate::~Gate()
+{
+    stop();
+}
 
 void Gate::start()
 {
@@ -93,7 +99,10 @@
         evicted->reply(notRun(RefusalReason::QueueFull, "too many requests wait for the backend server"));
 }
 
-void Gate::cancel(const std::string& requestId) { cancellations_.tryPush(requestId); }
+void Gate::cancel(const std::string& requestId)
+{
+    cancellations_.tryPush(requestId);
+}
 
 int Gate::load() const
 {
@@ -261,6 +270,9 @@
         limit_.shed();
     else
         limit_.fail();
+    // A server that cannot be reached comes back cold, before its health check tells.
+    if (answer.reason == RefusalReason::ServerUnreachable)
+        limit_.turnCold();
 }
 
 void Gate::runHealth()
@@ -309,6 +321,7 @@
         }
         limit_.setBearable(health->isCold ? health->bearable : options_.slots);
     }
+    workAvailable_.notify_all();
     if (isRestarted) {
         options_.timeline->record("server-restarted", {});
         if (options_.onServerRestart)
--- a/src/limits/teamhome.cpp
+++ b/src/limits/teamhome.cpp
@@ -15,7 +15,10 @@
 
 }
 
-int64_t TeamHome::mostOutstanding(int64_t burst) { return std::max<int64_t>(1, burst / 2); }
+int64_t TeamHome::mostOutstanding(int64_t burst)
+{
+    return std::max<int64_t>(1, burst / 2);
+}
 
 TeamHome::TeamHome(int64_t ratePerSecond, int64_t burst, TimePoint now)
     : rate_(ratePerSecond)
--- a/src/limits/teamshare.cpp
+++ b/src/limits/teamshare.cpp
@@ -54,7 +54,7 @@
         rateCount_ = 0;
         rateSince_ = now;
     }
-    return static_cast<int64_t>(std::ceil(ratePerSecond_ * forecastSeconds));
+    return std::lround(ratePerSecond_ * forecastSeconds);
 }
 
 std::optional<ShareDemand> TeamShare::demand(TimePoint now)
--- a/src/membership/instance.h
+++ b/src/membership/instance.h
@@ -33,7 +33,10 @@
     return { witness.name, witness.incarnation };
 }
 
-inline InstanceId instanceId(const stored::NodeEntry& entry) { return { entry.name, entry.incarnation }; }
+inline InstanceId instanceId(const stored::NodeEntry& entry)
+{
+    return { entry.name, entry.incarnation };
+}
 
 inline peer::Instance toMessage(const InstanceId& id)
 {
@@ -52,6 +55,9 @@
 }
 
 // The name of the object that holds an instance's entry.
-inline std::string nodeObject(const InstanceId& id) { return "nodes/" + id.name + "." + id.incarnation; }
+inline std::string nodeObject(const InstanceId& id)
+{
+    return "nodes/" + id.name + "." + id.incarnation;
+}
 
 }
--- a/src/membership/lapseproof.cpp
+++ b/src/membership/lapseproof.cpp
@@ -12,7 +12,10 @@
 {
 }
 
-bool LapseProof::hasMajority() const { return latestConfirmation_.size() >= witnesses_.size() / 2 + 1; }
+bool LapseProof::hasMajority() const
+{
+    return latestConfirmation_.size() >= witnesses_.size() / 2 + 1;
+}
 
 WitnessSet LapseProof::wanted() const
 {
--- a/src/membership/leaseholder.cpp
+++ b/src/membership/leaseholder.cpp
@@ -105,9 +105,15 @@
         confirm(*proposal_, witness, sentAt);
 }
 
-bool LeaseHolder::isProposalConfirmed(TimePoint now) const { return proposal_ && endOf(*proposal_) > now; }
+bool LeaseHolder::isProposalConfirmed(TimePoint now) const
+{
+    return proposal_ && endOf(*proposal_) > now;
+}
 
-void LeaseHolder::beginChange() { isChanging_ = true; }
+void LeaseHolder::beginChange()
+{
+    isChanging_ = true;
+}
 
 void LeaseHolder::adoptProposal()
 {
--- a/src/membership/witness.cpp
+++ b/src/membership/witness.cpp
@@ -38,7 +38,10 @@
     return silent;
 }
 
-void Witness::forget(const InstanceId& holder) { records_.erase(holder); }
+void Witness::forget(const InstanceId& holder)
+{
+    records_.erase(holder);
+}
 
 std::vector<InstanceId> Witness::holders() const
 {
--- a/src/ownership/grantkeeper.cpp
+++ b/src/ownership/grantkeeper.cpp
@@ -8,7 +8,10 @@
 namespace persimmonfield {
 namespace {
 
-    InstanceId ownerOf(const stored::PartitionRow& row) { return { row.owner, row.incarnation }; }
+    InstanceId ownerOf(const stored::PartitionRow& row)
+    {
+        return { row.owner, row.incarnation };
+    }
 
 }
 
@@ -89,6 +92,8 @@
 std::vector<ReleaseWrite> GrantKeeper::releasesReady(const FleetView& view)
 {
     std::vector<ReleaseWrite> writes;
+    if (releasing_.empty())
+        return writes;
     for (const auto& [service, groups] : view.tables) {
         for (const auto& group : groups) {
             ReleaseWrite write { group->objectName, group->table, group->version, {} };
--- a/src/ownership/tableplanner.cpp
+++ b/src/ownership/tableplanner.cpp
@@ -153,7 +153,9 @@
     const bool settled = isSettled(service, candidates, now);
     const int budget = settled ? balanceBudget(service, rows, now) : 0;
     std::map<std::string, int> changes;
-    for (const PlacementMove& move : planPlacement(candidates, rows, budget)) {
+    const std::vector<PlacementMove> moves = planPlacement(candidates, rows, budget);
+    settling_[service].isAtRest = budget > 0 && moves.empty();
+    for (const PlacementMove& move : moves) {
         const PlacementRow& row = rows[static_cast<size_t>(move.partition)];
         KnownTable& table = tables[static_cast<size_t>(move.partition / rowsPerTableObject)];
         const bool isWriting = writing_.count(table.objectName) > 0;
@@ -174,6 +176,15 @@
     return writes;
 }
 
-void TablePlanner::writeEnded(const std::string& objectName) { writing_.erase(objectName); }
+bool TablePlanner::isAtRest(const std::string& service) const
+{
+    const auto found = settling_.find(service);
+    return found != settling_.end() && found->second.isAtRest;
+}
+
+void TablePlanner::writeEnded(const std::string& objectName)
+{
+    writing_.erase(objectName);
+}
 
 }
--- a/src/ownership/tableplanner.h
+++ b/src/ownership/tableplanner.h
@@ -26,6 +26,9 @@
     // The writes that bring the service closer to its plan.
     std::vector<TableWrite> step(const FleetView& view, const std::string& service, TimePoint now);
 
+    // Whether the last step found nothing left to do: another is wanted only when the view changes.
+    bool isAtRest(const std::string& service) const;
+
     // A write of this class ended, whatever came of it.
     void writeEnded(const std::string& objectName);
 
@@ -34,6 +37,7 @@
         std::vector<InstanceId> takers;
         TimePoint since;
         TimePoint nextBalance;
+        bool isAtRest = false;
     };
 
     bool isSettled(
--- a/src/ownership/takeover.cpp
+++ b/src/ownership/takeover.cpp
@@ -22,7 +22,10 @@
         return witnesses;
     }
 
-    std::string claimantOf(const InstanceId& id) { return nodeObject(id); }
+    std::string claimantOf(const InstanceId& id)
+    {
+        return nodeObject(id);
+    }
 
 }
 
@@ -50,7 +53,10 @@
         found->second.proof.promised(witness, sinceConfirmed, now);
 }
 
-void Takeover::writeEnded(const std::string& objectName) { writing_.erase(objectName); }
+void Takeover::writeEnded(const std::string& objectName)
+{
+    writing_.erase(objectName);
+}
 
 TakeoverActions Takeover::step(
     const FleetView& view, const std::function<bool(const stored::NodeEntry&)>& isMine, TimePoint now)
@@ -65,8 +71,8 @@
         const bool isClaimed = entry.state == stored::State::Claimed;
         if (isClaimed && entry.claimedBy == claimantOf(self_))
             pursue(objectName, *node, view, now, actions);
-        else if (isClaimed ? isMine(entry) && isClaimStale(*node, view, now)
-                           : isMine(entry) && isSuspected(*node, view, now))
+        else if ((isClaimed ? isClaimStale(*node, view, now) : isSuspected(*node, view, now))
+            && isMine(entry))
             claim(objectName, *node, actions);
     }
     return actions;
--- a/src/routing/serverchoice.cpp
+++ b/src/routing/serverchoice.cpp
@@ -8,14 +8,15 @@
 namespace {
 
     constexpr Duration peakHalfLife = Milliseconds(500);
-    constexpr Milliseconds firstLeaveOut { 200 };
-    constexpr int mostLeaveOutDoublings = 5;
+    constexpr Milliseconds firstLeaveOutFailed { 200 };
+    constexpr Milliseconds firstLeaveOutSlow { 1'000 };
+    constexpr int mostLeaveOutDoublings = 4;
     constexpr int failuresToLeaveOut = 2;
-    // A server so many times slower than the median is an outlier.
+    // After its time a left-out server is given only probes for so long, then requests again.
+    constexpr Milliseconds probesOnly { 5'000 };
+    // A server that takes so many times the usual latency is an outlier.
     constexpr int outlierFactor = 3;
     constexpr Duration leastOutlierLatency = Milliseconds(2);
-    // One request in so many goes to an outlier, to see whether it has recovered.
-    constexpr uint64_t probeShare = 200;
     constexpr int usualWeight = 32;
     constexpr int hedgeDeviations = 4;
     constexpr Duration leastHedgeDelay = Milliseconds(2);
@@ -46,11 +47,9 @@
     for (const InstanceId& server : servers) {
         if (contains(excluded, server))
             continue;
-        const bool isLeftOut = now < observed_[server].leftOutUntil || isOutlier(server, servers, now);
-        (isLeftOut ? unfit : fit).push_back(server);
+        (isFit(server, now) ? fit : unfit).push_back(server);
     }
-    const bool probes = !unfit.empty() && random_() % probeShare == 0;
-    const std::vector<InstanceId>& pool = fit.empty() || probes ? unfit : fit;
+    const std::vector<InstanceId>& pool = fit.empty() ? unfit : fit;
     if (pool.empty())
         return std::nullopt;
     const InstanceId& first = pool[random_() % pool.size()];
@@ -66,25 +65,41 @@
     return base * (observed.inFlight + 1);
 }
 
-Duration ServerChoice::medianLatency(const std::vector<InstanceId>& servers, TimePoint now)
+bool ServerChoice::isFit(const InstanceId& server, TimePoint now)
 {
-    std::vector<Duration> latencies;
-    latencies.reserve(servers.size());
-    for (const InstanceId& server : servers)
-        latencies.push_back(decayed(observed_[server].peakLatency, now - observed_[server].lastSample));
-    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
-    std::nth_element(latencies.begin(), middle, latencies.end());
-    return *middle;
+    const Observed& observed = observed_[server];
+    if (now < observed.leftOutUntil)
+        return false;
+    return !observed.isSuspect || now >= observed.leftOutUntil + probesOnly;
 }
 
-bool ServerChoice::isOutlier(const InstanceId& server, const std::vector<InstanceId>& servers, TimePoint now)
+std::optional<InstanceId> ServerChoice::dueProbe(const std::vector<InstanceId>& servers, TimePoint now)
 {
-    const Observed& observed = observed_[server];
-    const Duration latency = decayed(observed.peakLatency, now - observed.lastSample);
-    return latency > leastOutlierLatency && latency > medianLatency(servers, now) * outlierFactor;
+    for (const InstanceId& server : servers) {
+        Observed& observed = observed_[server];
+        if (!observed.isSuspect || now < observed.leftOutUntil)
+            continue;
+        observed.leftOutUntil = now + firstLeaveOutSlow;
+        return server;
+    }
+    return std::nullopt;
+}
+
+Duration ServerChoice::slowBound() const
+{
+    return std::max(leastOutlierLatency, usualLatency_ * outlierFactor);
+}
+
+void ServerChoice::leaveOut(Observed& observed, Duration firstTime, int times, TimePoint now)
+{
+    observed.isSuspect = true;
+    observed.leftOutUntil = now + firstTime * (1 << std::min(times, mostLeaveOutDoublings));
 }
 
-void ServerChoice::began(const InstanceId& server) { ++observed_[server].inFlight; }
+void ServerChoice::began(const InstanceId& server)
+{
+    ++observed_[server].inFlight;
+}
 
 void ServerChoice::sample(Observed& observed, Duration latency, TimePoint now)
 {
@@ -98,6 +113,12 @@
     Observed& observed = observed_[server];
     sample(observed, latency, now);
     observed.failuresInRow = 0;
+    if (usualLatency_ > Duration::zero() && latency > slowBound()) {
+        leaveOut(observed, firstLeaveOutSlow, observed.slowInRow++, now);
+    } else {
+        observed.slowInRow = 0;
+        observed.isSuspect = false;
+    }
     const Duration deviation = latency > usualLatency_ ? latency - usualLatency_ : usualLatency_ - latency;
     usualDeviation_ += (deviation - usualDeviation_) / usualWeight;
     usualLatency_ += (latency - usualLatency_) / usualWeight;
@@ -108,15 +129,16 @@
     Observed& observed = observed_[server];
     observed.inFlight = std::max(0, observed.inFlight - 1);
     ++observed.failuresInRow;
-    if (observed.failuresInRow < failuresToLeaveOut)
-        return;
-    const int doublings = std::min(observed.failuresInRow - failuresToLeaveOut, mostLeaveOutDoublings);
-    observed.leftOutUntil = now + firstLeaveOut * (1 << doublings);
+    if (observed.failuresInRow >= failuresToLeaveOut)
+        leaveOut(observed, firstLeaveOutFailed, observed.failuresInRow - failuresToLeaveOut, now);
 }
 
 void ServerChoice::abandoned(const InstanceId& server, Duration elapsed, TimePoint now)
 {
-    sample(observed_[server], elapsed, now);
+    Observed& observed = observed_[server];
+    sample(observed, elapsed, now);
+    if (usualLatency_ > Duration::zero() && elapsed > slowBound())
+        leaveOut(observed, firstLeaveOutSlow, observed.slowInRow++, now);
 }
 
 Duration ServerChoice::hedgeDelay() const
--- a/src/routing/serverchoice.h
+++ b/src/routing/serverchoice.h
@@ -13,7 +13,8 @@
 
 // Chooses among the servers of a service that is not divided by key by what this entrance sees itself, since
 // load reports lag: the better of two random ones by requests in flight and recent latency. A server that
-// fails or lags far behind the others is left out but for a probe now and then. Pure; not thread-safe.
+// fails or lags far behind the others is left out, for longer each time; copies of idempotent requests, which
+// delay nobody, probe whether it has recovered. Pure; not thread-safe.
 class ServerChoice {
 public:
     // `random` answers evenly spread numbers.
@@ -23,6 +24,9 @@
     std::optional<InstanceId> choose(
         const std::vector<InstanceId>& servers, const std::vector<InstanceId>& excluded, TimePoint now);
 
+    // A left-out server whose time for a probe has come.
+    std::optional<InstanceId> dueProbe(const std::vector<InstanceId>& servers, TimePoint now);
+
     void began(const InstanceId& server);
 
     // The server answered after that time.
@@ -43,13 +47,16 @@
         Duration peakLatency { 0 }; // Rises at once, falls slowly.
         TimePoint lastSample;
         int failuresInRow = 0;
+        int slowInRow = 0; // Samples as an outlier since the last good one.
         TimePoint leftOutUntil;
+        bool isSuspect = false; // Left out, and no good sample since.
     };
 
     double cost(const InstanceId& server, TimePoint now);
-    bool isOutlier(const InstanceId& server, const std::vector<InstanceId>& servers, TimePoint now);
-    Duration medianLatency(const std::vector<InstanceId>& servers, TimePoint now);
+    bool isFit(const InstanceId& server, TimePoint now);
+    Duration slowBound() const;
     void sample(Observed& observed, Duration latency, TimePoint now);
+    static void leaveOut(Observed& observed, Duration firstTime, int times, TimePoint now);
 
     std::function<uint64_t()> random_;
     std::map<InstanceId, Observed> observed_;
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -354,16 +354,34 @@
 {
 }
 
-PeerNetwork::~PeerNetwork() { stop(); }
+PeerNetwork::~PeerNetwork()
+{
+    stop();
+}
 
-absl::Status PeerNetwork::start() { return impl_->start(); }
+absl::Status PeerNetwork::start()
+{
+    return impl_->start();
+}
 
-void PeerNetwork::stop() { impl_->stop(); }
+void PeerNetwork::stop()
+{
+    impl_->stop();
+}
 
-LinkId PeerNetwork::linkTo(const std::string& address) { return impl_->linkTo(address); }
+LinkId PeerNetwork::linkTo(const std::string& address)
+{
+    return impl_->linkTo(address);
+}
 
-bool PeerNetwork::send(LinkId link, const Frame& frame) { return impl_->send(link, frame); }
+bool PeerNetwork::send(LinkId link, const Frame& frame)
+{
+    return impl_->send(link, frame);
+}
 
-bool PeerNetwork::waitForRoom(LinkId link, TimePoint deadline) { return impl_->waitForRoom(link, deadline); }
+bool PeerNetwork::waitForRoom(LinkId link, TimePoint deadline)
+{
+    return impl_->waitForRoom(link, deadline);
+}
 
 }
--- a/tests/faults/faults.cpp
+++ b/tests/faults/faults.cpp
@@ -90,7 +90,10 @@
         CHECK(Fleet::waitUntil([this] { return everyLeaseRestsOnWitnesses(); }));
     }
 
-    void teardown() override { fleet.reset(); }
+    void teardown() override
+    {
+        fleet.reset();
+    }
 
     bool everyLeaseRestsOnWitnesses()
     {
@@ -104,7 +107,10 @@
         return true;
     }
 
-    std::string nameOf(size_t index) { return fleet->spec(index).name; }
+    std::string nameOf(size_t index)
+    {
+        return fleet->spec(index).name;
+    }
 
     // Traffic through all entrances but the victim's.
     TrafficSpec aroundVictim()
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -69,7 +69,10 @@
     return answer;
 }
 
-std::string keyOf(const std::string& team) { return team + "-key"; }
+std::string keyOf(const std::string& team)
+{
+    return team + "-key";
+}
 
 std::string keySection(const std::string& team)
 {
@@ -95,7 +98,10 @@
         fs::remove_all(directory_, ignored);
 }
 
-std::string Fleet::platformUrl() const { return fmt::format("http://{}:{}", host, platformPort_); }
+std::string Fleet::platformUrl() const
+{
+    return fmt::format("http://{}:{}", host, platformPort_);
+}
 
 void Fleet::startPlatform()
 {
@@ -115,11 +121,11 @@
     return fmt::format("[persimmonfieldd]\nname = {}\nzone = {}\nservice = {}\n"
                        "caller-address = {}:{}\npeer-address = {}:{}\noperator-address = {}:{}\n"
                        "server-address = {}:{}\nserver-checks-fences = {}\nserver-slots = {}\n"
-                       "caller-connections = 64\nplatform = {}\npeer-secret-file = {}/secret\n{}",
+                       "caller-connections = {}\nplatform = {}\npeer-secret-file = {}/secret\n{}",
         member.spec.name, member.spec.zone, member.spec.service, host, member.firstPort, host,
         member.firstPort + 1, host, member.firstPort + 2, host, member.firstPort + 3,
-        member.spec.checksFences ? "yes" : "no", member.spec.slots, platformUrl(), directory_,
-        seeds.empty() ? "" : "seeds = " + seeds + "\n");
+        member.spec.checksFences ? "yes" : "no", member.spec.slots, member.spec.callerConnections,
+        platformUrl(), directory_, seeds.empty() ? "" : "seeds = " + seeds + "\n");
 }
 
 void Fleet::addInstance(const InstanceSpec& spec)
@@ -133,7 +139,7 @@
     startDaemon(instances_.size() - 1);
 }
 
-void Fleet::startServer(size_t index)
+void Fleet::startServer(size_t index, const std::vector<std::string>& moreFlags)
 {
     Member& member = instances_[index];
     std::vector<std::string> command { binaryDirectory_ + "/tests/standin-server",
@@ -141,6 +147,7 @@
     if (member.spec.checksFences)
         command.emplace_back("--checks-fences");
     command.insert(command.end(), member.spec.serverFlags.begin(), member.spec.serverFlags.end());
+    command.insert(command.end(), moreFlags.begin(), moreFlags.end());
     member.server = std::make_unique<Process>(command, directory_ + "/" + member.spec.name + "-server.log");
 }
 
@@ -168,14 +175,20 @@
     return runProgram(command, output);
 }
 
-json Fleet::status(size_t index) const { return getJson(instances_[index].firstPort + 2, "/status"); }
+json Fleet::status(size_t index) const
+{
+    return getJson(instances_[index].firstPort + 2, "/status");
+}
 
 std::string Fleet::metrics(size_t index) const
 {
     return call(instances_[index].firstPort + 2, { "GET", "/metrics", {}, {} }).body;
 }
 
-json Fleet::runs(size_t index) const { return getJson(serverPort(index), "/standin/runs"); }
+json Fleet::runs(size_t index) const
+{
+    return getJson(serverPort(index), "/standin/runs");
+}
 
 void Fleet::commandPlatform(const json& command) const
 {
@@ -187,7 +200,10 @@
     call(serverPort(index), { "POST", "/standin/control", {}, command.dump() });
 }
 
-json Fleet::platformCounts() const { return getJson(platformPort_, "/counts"); }
+json Fleet::platformCounts() const
+{
+    return getJson(platformPort_, "/counts");
+}
 
 bool Fleet::waitUntil(const std::function<bool()>& condition, Milliseconds patience)
 {
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -57,7 +57,7 @@
 
     void startPlatform();
     void addInstance(const InstanceSpec& spec);
-    void startServer(size_t index);
+    void startServer(size_t index, const std::vector<std::string>& moreFlags = {});
     void startDaemon(size_t index);
 
     // Writes the configuration and applies it; answers persimmonctl's exit code.
--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -37,7 +37,10 @@
     std::_Exit(127);
 }
 
-Process::~Process() { kill(); }
+Process::~Process()
+{
+    kill();
+}
 
 void Process::signal(int number) const
 {
--- a/tests/fleet/process.h
+++ b/tests/fleet/process.h
@@ -25,6 +25,7 @@
     int wait();
 
     bool isRunning() const { return pid_ > 0; }
+    pid_t pid() const { return pid_; }
 
 private:
     pid_t pid_ = -1;
--- a/tests/fleet/traffic.cpp
+++ b/tests/fleet/traffic.cpp
@@ -13,7 +13,10 @@
         threads_.emplace_back([this, i] { run(i); });
 }
 
-Traffic::~Traffic() { stop(); }
+Traffic::~Traffic()
+{
+    stop();
+}
 
 std::vector<SentRequest> Traffic::stop()
 {
--- a/tests/path/path.cpp
+++ b/tests/path/path.cpp
@@ -53,7 +53,10 @@
         CHECK(fleet->waitUntilOwned("cards", partitions));
     }
 
-    void teardown() override { fleet.reset(); }
+    void teardown() override
+    {
+        fleet.reset();
+    }
 };
 
 TEST(Path, BodiesOfEverySizeComeBackByteForByteFromEveryEntrance)
--- a/tests/standins/server.cpp
+++ b/tests/standins/server.cpp
@@ -25,10 +25,11 @@
 constexpr const char* usage = R"(A stand-in for a backend server.
 
 Usage:
-  standin-server --port=PORT [--slots=N] [--service-ms=N] [--checks-fences] [--echo]
+  standin-server --port=PORT [--slots=N] [--service-ms=N] [--checks-fences] [--echo] [--cold-slots=N]
 
 Options:
   --slots=N        Requests served at once; more are shed [default: 10].
+  --cold-slots=N   Requests borne at once until told otherwise; 0 for a warm start [default: 0].
   --service-ms=N   Time that a request takes [default: 0].
   --checks-fences  Refuses requests whose fence is not the one granted.
   --echo           Answers with the request's body instead of a description.
@@ -36,11 +37,12 @@
 
 class Server {
 public:
-    Server(int slots, int serviceMs, bool checksFences, bool echoes)
+    Server(int slots, int serviceMs, int coldSlots, bool checksFences, bool echoes)
         : slots_(slots)
         , serviceMs_(serviceMs)
         , checksFences_(checksFences)
         , echoes_(echoes)
+        , coldSlots_(coldSlots)
     {
     }
 
@@ -189,13 +191,13 @@
     int serviceMs_;
     bool checksFences_;
     bool echoes_;
+    int coldSlots_;
     std::mutex mutex_;
     std::map<int, int64_t> fences_;
     std::set<std::string> cancelled_;
     std::map<std::string, int> runs_;
     int running_ = 0;
     int mostAtOnce_ = 0;
-    int coldSlots_ = 0;
     int shed_ = 0;
     bool isDraining_ = false;
     bool sawCallerKey_ = false;
@@ -212,7 +214,8 @@
     library.set_keep_alive_max_count(1'000'000);
     library.set_keep_alive_timeout(30);
     Server server(std::atoi(arguments["--slots"].asString().c_str()),
-        std::atoi(arguments["--service-ms"].asString().c_str()), arguments["--checks-fences"].asBool(),
+        std::atoi(arguments["--service-ms"].asString().c_str()),
+        std::atoi(arguments["--cold-slots"].asString().c_str()), arguments["--checks-fences"].asBool(),
         arguments["--echo"].asBool());
     server.route(library);
     return library.listen("127.0.0.1", std::atoi(arguments["--port"].asString().c_str())) ? 0 : 1;
