Tests: one program a library; servers are compared within their service

Cause: an entrance kept one usual latency for all services, so that the servers of a slow service counted as outliers beside those of a fast one, and the first samples were compared with an average that began at zero (the first sample of any server above 2 ms left it out). Found by the new routing test. Now each service has its own choice, and an outlier is one beyond three times the median of the servers seen.

--- a/src/daemon/entrance.cpp
+++ b/src/daemon/entrance.cpp
@@ -76,7 +76,6 @@
 Entrance::Entrance(EntranceOptions options)
     : options_(std::move(options))
     , server_(std::make_unique<httplib::Server>())
-    , choice_(randomSource())
 {
 }
 
@@ -258,9 +257,9 @@
     }
     const std::vector<InstanceId> servers = serversOf(view, passage.routed.service);
     std::lock_guard lock(mutex_);
-    auto chosen = choice_.choose(servers, passage.tried, BootClock::now());
+    auto chosen = choiceOf(passage).choose(servers, passage.tried, BootClock::now());
     if (!chosen)
-        chosen = choice_.choose(servers, {}, BootClock::now());
+        chosen = choiceOf(passage).choose(servers, {}, BootClock::now());
     return chosen;
 }
 
@@ -278,7 +277,7 @@
     passage.request.timeoutMs = std::max<int64_t>(1, left.count());
     {
         std::lock_guard lock(mutex_);
-        choice_.began(server);
+        choiceOf(passage).began(server);
     }
     if (server == options_.self())
         copy.call = options_.forwarder->sendLocal(
@@ -299,7 +298,7 @@
     const bool mayHedge = passage.routed.isIdempotent && passage.routed.partition < 0;
     if (mayHedge) {
         std::lock_guard lock(mutex_);
-        hedgeAt = first.began + choice_.hedgeDelay();
+        hedgeAt = first.began + choiceOf(passage).hedgeDelay();
     }
     if (mayHedge) {
         if (const auto copy = probe(view, passage, group))
@@ -338,7 +337,7 @@
         options_.forwarder->cancel(copy.call);
         const TimePoint now = BootClock::now();
         std::lock_guard lock(mutex_);
-        choice_.abandoned(copy.server, now - copy.began, now);
+        choiceOf(passage).abandoned(copy.server, now - copy.began, now);
     }
     return last;
 }
@@ -350,7 +349,7 @@
     std::optional<InstanceId> suspect;
     {
         std::lock_guard lock(mutex_);
-        suspect = choice_.dueProbe(serversOf(view, passage.routed.service), BootClock::now());
+        suspect = choiceOf(passage).dueProbe(serversOf(view, passage.routed.service), BootClock::now());
         if (!suspect || !budget_.tryTake())
             return std::nullopt;
     }
@@ -364,7 +363,8 @@
     std::optional<InstanceId> other;
     {
         std::lock_guard lock(mutex_);
-        other = choice_.choose(serversOf(view, passage.routed.service), { first.server }, BootClock::now());
+        other = choiceOf(passage).choose(
+            serversOf(view, passage.routed.service), { first.server }, BootClock::now());
         if (!other || !budget_.tryTake())
             return std::nullopt;
     }
@@ -377,11 +377,16 @@
     const TimePoint now = BootClock::now();
     std::lock_guard lock(mutex_);
     if (reply.isAnswer && passage.routed.partition < 0)
-        choice_.succeeded(copy.server, now - copy.began, now);
+        choiceOf(passage).succeeded(copy.server, now - copy.began, now);
     else if (reply.isAnswer)
-        choice_.abandoned(copy.server, Duration::zero(), now);
+        choiceOf(passage).abandoned(copy.server, Duration::zero(), now);
     else
-        choice_.failed(copy.server, now);
+        choiceOf(passage).failed(copy.server, now);
+}
+
+ServerChoice& Entrance::choiceOf(const Passage& passage)
+{
+    return choices_.try_emplace(passage.routed.service, randomSource()).first->second;
 }
 
 bool Entrance::takeFromBudget()
--- a/src/daemon/entrance.h
+++ b/src/daemon/entrance.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -87,6 +88,8 @@
     void noteEnd(const Passage& passage, const Copy& copy, const Reply& reply);
     bool mayRetry(const Passage& passage, const Reply& reply);
     bool takeFromBudget();
+    // Call with the mutex held.
+    ServerChoice& choiceOf(const Passage& passage);
     std::shared_ptr<const Router> router() const;
 
     EntranceOptions options_;
@@ -95,7 +98,7 @@
     mutable std::mutex mutex_; // Guards what follows.
     std::shared_ptr<const Router> router_;
     std::shared_ptr<const Configuration> routedConfiguration_;
-    ServerChoice choice_;
+    std::map<std::string, ServerChoice> choices_; // By service.
     RetryBudget budget_;
 };
 
--- a/src/routing/serverchoice.cpp
+++ b/src/routing/serverchoice.cpp
@@ -87,7 +87,17 @@
 
 Duration ServerChoice::slowBound() const
 {
-    return std::max(leastOutlierLatency, usualLatency_ * outlierFactor);
+    std::vector<Duration> peaks;
+    peaks.reserve(observed_.size());
+    for (const auto& [server, observed] : observed_) {
+        if (observed.peakLatency > Duration::zero())
+            peaks.push_back(observed.peakLatency);
+    }
+    if (peaks.empty())
+        return leastOutlierLatency;
+    const auto median = peaks.begin() + static_cast<std::ptrdiff_t>((peaks.size() - 1) / 2);
+    std::nth_element(peaks.begin(), median, peaks.end());
+    return std::max(leastOutlierLatency, *median * outlierFactor);
 }
 
 void ServerChoice::leaveOut(Observed& observed, Duration firstTime, int times, TimePoint now)
@@ -113,7 +123,7 @@
     Observed& observed = observed_[server];
     sample(observed, latency, now);
     observed.failuresInRow = 0;
-    if (usualLatency_ > Duration::zero() && latency > slowBound()) {
+    if (latency > slowBound()) {
         leaveOut(observed, firstLeaveOutSlow, observed.slowInRow++, now);
     } else {
         observed.slowInRow = 0;
@@ -137,7 +147,7 @@
 {
     Observed& observed = observed_[server];
     sample(observed, elapsed, now);
-    if (usualLatency_ > Duration::zero() && elapsed > slowBound())
+    if (elapsed > slowBound())
         leaveOut(observed, firstLeaveOutSlow, observed.slowInRow++, now);
 }
 
--- a/src/routing/serverchoice.h
+++ b/src/routing/serverchoice.h
@@ -11,10 +11,10 @@
 
 namespace persimmonfield {
 
-// Chooses among the servers of a service that is not divided by key by what this entrance sees itself, since
-// load reports lag: the better of two random ones by requests in flight and recent latency. A server that
-// fails or lags far behind the others is left out, for longer each time; copies of idempotent requests, which
-// delay nobody, probe whether it has recovered. Pure; not thread-safe.
+// Chooses among the servers of one service that is not divided by key by what this entrance sees itself,
+// since load reports lag: the better of two random ones by requests in flight and recent latency. A server
+// that fails or lags far behind the others is left out, for longer each time; copies of idempotent requests,
+// which delay nobody, probe whether it has recovered. Pure; not thread-safe.
 class ServerChoice {
 public:
     // `random` answers evenly spread numbers.
@@ -54,6 +54,7 @@
 
     double cost(const InstanceId& server, TimePoint now);
     bool isFit(const InstanceId& server, TimePoint now);
+    // The latency above which a server is an outlier among those seen.
     Duration slowBound() const;
     void sample(Observed& observed, Duration latency, TimePoint now);
     static void leaveOut(Observed& observed, Duration firstTime, int times, TimePoint now);
--- /dev/null
+++ b/tests/base/base.cpp
@@ -0,0 +1,63 @@
+#include "base/address.h"
+#include "base/boundedring.h"
+#include "base/counters.h"
+#include "base/hashing.h"
+#include "base/logger.h"
+#include "base/timeline.h"
+
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+TEST_GROUP(Base) {};
+
+TEST(Base, ARingKeepsItsOrderRefusesWhenFullAndEndsWhenClosed)
+{
+    BoundedRing<int> ring(2);
+    CHECK(ring.tryPush(1));
+    CHECK(ring.tryPush(2));
+    CHECK_FALSE(ring.tryPush(3));
+    LONGS_EQUAL(1, *ring.pop(Duration::zero()));
+    ring.close();
+    CHECK_FALSE(ring.tryPush(4));
+    LONGS_EQUAL(2, *ring.pop(Duration::zero()));
+    CHECK_FALSE(ring.pop(std::chrono::hours(1)).has_value());
+}
+
+TEST(Base, AddressesAreReadOrRefusedWithACause)
+{
+    LONGS_EQUAL(80, parseAddress("10.0.0.1:80")->port);
+    for (const char* wrong : { "", "10.0.0.1", "host:80", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:8x" })
+        CHECK(absl::IsInvalidArgument(parseAddress(wrong).status()));
+}
+
+TEST(Base, HashesAreTheStandardOnes)
+{
+    STRCMP_EQUAL("e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855", sha256Hex("").c_str());
+    CHECK(equalsInConstantTime("same", "same"));
+    CHECK_FALSE(equalsInConstantTime("same", "other"));
+    LONGS_EQUAL(32, randomHex(16).size());
+}
+
+TEST(Base, CountersAreWrittenAsText)
+{
+    Counters counters;
+    counters.counter("refusals_total", "reason", "no-key") += 2;
+    STRCMP_EQUAL("persimmonfield_refusals_total{reason=\"no-key\"} 2\n", counters.exposition().c_str());
+}
+
+TEST(Base, ATimelineNeverGoesBackAndKeepsTheNewest)
+{
+    setLogLevel(LogLevel::Error);
+    Timeline timeline("one", 2);
+    const HybridTime remote { wallClockNow() + std::chrono::hours(1), 5 };
+    timeline.observe(remote);
+    CHECK(remote < timeline.now());
+    for (const char* kind : { "first", "second", "third" })
+        timeline.record(kind, nlohmann::json::object());
+    const std::string lines = timeline.jsonLines();
+    CHECK(lines.find("first") == std::string::npos);
+    CHECK(lines.find("second") < lines.find("third"));
+}
--- /dev/null
+++ b/tests/config/config.cpp
@@ -0,0 +1,101 @@
+#include "config/configparser.h"
+#include "config/settingsfile.h"
+
+#include <fstream>
+#include <iterator>
+#include <random>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+namespace {
+
+std::string readData(const std::string& name)
+{
+    std::ifstream file("data/" + name, std::ios::binary);
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+std::vector<std::string> errorsOf(const std::string& text)
+{
+    std::vector<std::string> errors;
+    for (const FileError& error : parseConfiguration({ { "fleet.ini", text } }).errors)
+        errors.push_back(error.text());
+    return errors;
+}
+
+}
+
+TEST_GROUP(Configuration) {};
+
+TEST(Configuration, ReadsAWholeFile)
+{
+    const auto parsed = parseConfiguration({ { "fleet.ini", readData("valid.ini") } });
+    LONGS_EQUAL(0, parsed.errors.size());
+    LONGS_EQUAL(64, parsed.configuration.services.at("cards").partitions);
+    LONGS_EQUAL(2, parsed.configuration.routes.size());
+    CHECK(parsed.configuration.routes[0].isIdempotent);
+    LONGS_EQUAL(20, parsed.configuration.teams.at("cairnloch").burst);
+    CHECK(parsed.configuration.isZoneOut("b"));
+    CHECK_FALSE(parsed.configuration.isZoneOut("a"));
+}
+
+TEST(Configuration, ReportsEveryErrorWithFileLineAndCause)
+{
+    const auto errors = errorsOf(readData("invalid.ini"));
+    const std::vector<std::string> expected {
+        "fleet.ini:4: neither [section] nor name = value",
+        "fleet.ini:5: an empty section",
+        "fleet.ini:2: 'partitions' must be a number from 0 to 1048576, not 'many'",
+        "fleet.ini:9: unknown setting 'rat' in a team",
+        "fleet.ini:8: team 't' lacks 'rate'",
+        "fleet.ini:12: 'sha256' must be 64 lower-case hexadecimal digits, not 'short'",
+        "fleet.ini:14: unknown kind of section 'juggler'",
+        "fleet.ini:16: route 'r' names no declared service: 'nowhere'",
+        "fleet.ini:11: key 'k' names no declared team: 'x'",
+    };
+    for (const std::string& each : expected) {
+        const bool isReported = std::find(errors.begin(), errors.end(), each) != errors.end();
+        CHECK_TEXT(isReported, each.c_str());
+    }
+    LONGS_EQUAL(expected.size(), errors.size());
+}
+
+TEST(Configuration, NoTextMakesTheParserFailWithoutAnErrorThatNamesAFile)
+{
+    const std::string valid = readData("valid.ini");
+    const bool isTrue = rc::check("mutated files are read or refused", [&](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        std::string text = valid;
+        for (int i = 0; i < 10; ++i) {
+            const size_t place = random() % text.size();
+            if (random() % 2 == 0)
+                text[place] = static_cast<char>(random());
+            else
+                text.erase(place, random() % 8);
+        }
+        for (const FileError& error : parseConfiguration({ { "fleet.ini", text } }).errors) {
+            RC_ASSERT(error.file == "fleet.ini");
+            RC_ASSERT(error.line > 0);
+            RC_ASSERT(!error.cause.empty());
+        }
+    });
+    CHECK(isTrue);
+}
+
+TEST_GROUP(Settings) {};
+
+TEST(Settings, NamesWhatIsMissingAndWhatIsWrong)
+{
+    const auto parsed
+        = parseSettings({ "d.ini", "[persimmonfieldd]\nname = one\nserver-slots = 0\nzeal = 1\n" });
+    std::string all;
+    for (const FileError& error : parsed.errors)
+        all += error.text() + "\n";
+    CHECK(all.find("d.ini:3: 'server-slots' must be a whole number above 0, not '0'") != std::string::npos);
+    CHECK(all.find("d.ini:4: unknown setting 'zeal'") != std::string::npos);
+    CHECK(all.find("d.ini: 'zone' is not set") != std::string::npos);
+}
--- /dev/null
+++ b/tests/gate/gate.cpp
@@ -0,0 +1,159 @@
+#include "gate/concurrencylimit.h"
+#include "gate/fairqueue.h"
+#include "gate/requestrecord.h"
+
+#include <fmt/format.h>
+
+#include <random>
+#include <set>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+
+// A UUIDv7 of that time.
+std::string uuidAt(Milliseconds time, int number)
+{
+    const std::string digits = fmt::format("{:012x}", time.count());
+    return fmt::format("{}-{}-7000-8000-{:012x}", digits.substr(0, 8), digits.substr(8), number);
+}
+
+}
+
+TEST_GROUP(FairQueue) {};
+
+TEST(FairQueue, ATeamWithinItsShareWaitsNoLongerWhateverAnotherSends)
+{
+    const bool isTrue = rc::check("at most one item of each other team goes first", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        FairQueue<std::string> queue(50, Milliseconds(1'000));
+        const int greedy = static_cast<int>(random() % 200);
+        for (int i = 0; i < greedy; ++i)
+            queue.push("greedy", "greedy", start);
+        const int others = 1 + static_cast<int>(random() % 5);
+        for (int i = 0; i < others; ++i) {
+            const auto evicted = queue.push("team" + std::to_string(i), "other", start);
+            RC_ASSERT(!evicted || *evicted == "greedy");
+        }
+        int before = 0;
+        for (int left = others; left > 0; ++before)
+            left -= *queue.pop() == "other" ? 1 : 0;
+        RC_ASSERT(before <= others + 1);
+    });
+    CHECK(isTrue);
+}
+
+TEST(FairQueue, GivesUpWhatWaitedTooLong)
+{
+    FairQueue<int> queue(10, Milliseconds(100));
+    queue.push("a", 1, start);
+    queue.push("a", 2, start + Milliseconds(50));
+    CHECK_FALSE(queue.popOverdue(start + Milliseconds(100)).has_value());
+    LONGS_EQUAL(1, *queue.popOverdue(start + Milliseconds(101)));
+    CHECK_FALSE(queue.popOverdue(start + Milliseconds(101)).has_value());
+    LONGS_EQUAL(1, queue.size());
+}
+
+TEST_GROUP(ConcurrencyLimit) {};
+
+TEST(ConcurrencyLimit, NeverExceedsTheSlotsNorWhatAColdServerBears)
+{
+    const bool isTrue = rc::check("bounded whatever happens", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const int slots = 1 + static_cast<int>(random() % 20);
+        ConcurrencyLimit limit(slots);
+        int bearable = slots;
+        for (int i = 0; i < 2'000; ++i) {
+            switch (random() % 8) {
+            case 0:
+                limit.turnCold();
+                bearable = 1;
+                break;
+            case 1:
+                bearable = 1 + static_cast<int>(random() % 30);
+                limit.setBearable(bearable);
+                break;
+            case 2:
+                if (limit.inFlight() > 0)
+                    limit.shed();
+                break;
+            case 3:
+            case 4:
+                if (limit.inFlight() > 0)
+                    limit.succeed(Milliseconds(random() % 50));
+                break;
+            default:
+                if (limit.hasRoom())
+                    limit.begin();
+            }
+            RC_ASSERT(limit.limit() >= 1);
+            RC_ASSERT(limit.limit() <= std::min(slots, bearable));
+        }
+    });
+    CHECK(isTrue);
+}
+
+TEST(ConcurrencyLimit, GrowsToTheSlotsWithSuccess)
+{
+    ConcurrencyLimit limit(10);
+    LONGS_EQUAL(1, limit.limit());
+    for (int i = 0; i < 200; ++i) {
+        limit.begin();
+        limit.succeed(Milliseconds(1));
+    }
+    LONGS_EQUAL(10, limit.limit());
+}
+
+TEST_GROUP(RequestRecord) {};
+
+TEST(RequestRecord, NoKeyRunsTwiceHoweverGrantsAndRepeatsFall)
+{
+    const bool isTrue = rc::check("each key runs at most once over all owners", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        auto record = std::make_unique<RequestRecord>(5);
+        Milliseconds now { 1'000'000'000 };
+        Milliseconds grantBegan { 0 };
+        std::set<std::string> ran;
+        std::vector<std::string> sent;
+        for (int i = 0; i < 300; ++i) {
+            now += Milliseconds(random() % 1'000);
+            if (random() % 40 == 0) {
+                // Another owner, without memory.
+                record = std::make_unique<RequestRecord>(5);
+                grantBegan = now;
+            }
+            const bool isRepeat = !sent.empty() && random() % 2 == 0;
+            const std::string key = isRepeat ? sent[random() % sent.size()] : uuidAt(now, i);
+            sent.push_back(key);
+            if (record->admit("team", key, grantBegan) == RecordDecision::Run)
+                RC_ASSERT(ran.insert(key).second);
+        }
+    });
+    CHECK(isTrue);
+}
+
+TEST(RequestRecord, ACertainNotRunMayBeTriedAgain)
+{
+    RequestRecord record(10);
+    const std::string key = uuidAt(Milliseconds(1'000'000'000), 1);
+    CHECK(record.admit("team", key, Milliseconds(0)) == RecordDecision::Run);
+    CHECK(record.admit("team", key, Milliseconds(0)) == RecordDecision::AlreadySeen);
+    CHECK(record.admit("other", key, Milliseconds(0)) == RecordDecision::Run);
+    record.forget("team", key);
+    CHECK(record.admit("team", key, Milliseconds(0)) == RecordDecision::Run);
+}
+
+TEST(RequestRecord, AKeyOlderThanTheGrantIsNotRun)
+{
+    RequestRecord record(10);
+    const Milliseconds time { 1'000'000'000 };
+    CHECK(record.admit("team", uuidAt(time, 1), time + Milliseconds(1)) == RecordDecision::MayHaveRunEarlier);
+    CHECK(record.admit("team", "no-uuid", time) == RecordDecision::KeyInvalid);
+    CHECK_FALSE(uuidTime("00000000-0000-4000-8000-000000000000").has_value());
+}
--- /dev/null
+++ b/tests/routing/routing.cpp
@@ -0,0 +1,119 @@
+#include "base/hashing.h"
+#include "routing/router.h"
+#include "routing/serverchoice.h"
+
+#include <map>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+namespace {
+
+std::shared_ptr<Configuration> configuration()
+{
+    auto result = std::make_shared<Configuration>();
+    result->services["cards"] = { "cards", 16 };
+    result->services["print"] = { "print", 0 };
+    result->teams["a"] = { "a", 1, 1 };
+    result->teams["b"] = { "b", 1, 1 };
+    result->keys["ka"] = { "ka", "a", sha256Hex("key-a") };
+    result->keys["kb"] = { "kb", "b", sha256Hex("key-b") };
+    result->routes.push_back(
+        { "cards", "cards", { "cards", "{key}", "*" }, {}, { "GET" }, { "a" }, false, true });
+    result->routes.push_back({ "open", "print", { "open" }, {}, {}, {}, true, false });
+    result->routes.push_back({ "header", "cards", { "by-header" }, "X-Card", {}, {}, false, false });
+    return result;
+}
+
+RefusalReason refusalOf(const RoutingResult& result)
+{
+    return std::get<Reply>(result).reason;
+}
+
+}
+
+TEST_GROUP(Router) {};
+
+TEST(Router, FindsServiceKeyAndTeam)
+{
+    const Router router(configuration());
+    const CallerRequest request { "GET", "/cards/k1/view?x=/y", { { "authorization", "bearer key-a" } } };
+    const auto routed = std::get<RoutedRequest>(router.route(request));
+    STRCMP_EQUAL("cards", routed.service.c_str());
+    STRCMP_EQUAL("k1", routed.key.c_str());
+    STRCMP_EQUAL("a", routed.team.c_str());
+    CHECK(routed.partition >= 0 && routed.partition < 16);
+    CHECK(routed.isIdempotent);
+}
+
+TEST(Router, RefusesWithTheReason)
+{
+    const Router router(configuration());
+    CHECK(refusalOf(router.route({ "POST", "/cards/k/v", {} })) == RefusalReason::NoRoute);
+    CHECK(refusalOf(router.route({ "GET", "cards", {} })) == RefusalReason::NoRoute);
+    CHECK(refusalOf(router.route({ "GET", "/cards/k/v", {} })) == RefusalReason::NoKey);
+    CHECK(refusalOf(router.route({ "GET", "/cards/k/v", { { "Authorization", "Basic key-a" } } }))
+        == RefusalReason::NoKey);
+    CHECK(refusalOf(router.route({ "GET", "/cards/k/v", { { "Authorization", "Bearer key-x" } } }))
+        == RefusalReason::UnknownKey);
+    CHECK(refusalOf(router.route({ "GET", "/cards/k/v", { { "Authorization", "Bearer key-b" } } }))
+        == RefusalReason::TeamNotAllowed);
+    CHECK(refusalOf(router.route({ "GET", "/by-header", { { "Authorization", "Bearer key-b" } } }))
+        == RefusalReason::BadRequest);
+    CHECK(std::holds_alternative<RoutedRequest>(router.route({ "GET", "/open", {} })));
+}
+
+TEST(Router, TakesTheCallerKeyAndReservedHeadersOff)
+{
+    const auto kept = withoutCallerKey(
+        { { "AUTHORIZATION", "Bearer x" }, { "persimmonfield-fence", "9" }, { "Accept", "*/*" } });
+    LONGS_EQUAL(1, kept.size());
+    STRCMP_EQUAL("Accept", kept[0].name.c_str());
+}
+
+TEST_GROUP(ServerChoice) {};
+
+TEST(ServerChoice, LeavesAStragglerOutAndTakesItBackAfterAGoodProbe)
+{
+    auto engine = std::make_shared<std::mt19937_64>(1);
+    ServerChoice choice([engine] { return (*engine)(); });
+    const std::vector<InstanceId> servers { { "a", "1" }, { "b", "1" }, { "slow", "1" } };
+    TimePoint now { std::chrono::hours(1) };
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 1'000; ++i) {
+        now += Milliseconds(1);
+        const InstanceId server = *choice.choose(servers, {}, now);
+        ++chosen[server.name];
+        choice.began(server);
+        choice.succeeded(server, server.name == "slow" ? Milliseconds(40) : Milliseconds(4), now);
+    }
+    CHECK(chosen["slow"] <= 3);
+    CHECK(chosen["a"] > 300);
+    CHECK_FALSE(choice.dueProbe(servers, now - Milliseconds(900)).has_value());
+    const auto probe = choice.dueProbe(servers, now + std::chrono::seconds(2));
+    CHECK(probe && probe->name == "slow");
+    now += std::chrono::seconds(2);
+    choice.began(*probe);
+    choice.succeeded(*probe, Milliseconds(4), now);
+    chosen.clear();
+    for (int i = 0; i < 300; ++i) {
+        now += std::chrono::seconds(2);
+        ++chosen[choice.choose(servers, {}, now)->name];
+    }
+    CHECK(chosen["slow"] > 30);
+}
+
+TEST(ServerChoice, ServesThroughAnUnfitServerWhenThereIsNoOther)
+{
+    ServerChoice choice([] { return 0; });
+    const TimePoint now { std::chrono::hours(1) };
+    const InstanceId only { "only", "1" };
+    for (int i = 0; i < 3; ++i) {
+        choice.began(only);
+        choice.failed(only, now);
+    }
+    CHECK(choice.choose({ only }, {}, now).has_value());
+    CHECK_FALSE(choice.choose({ only }, { only }, now).has_value());
+}
