Routing: requests that crash servers are held back by all instances

Cause: a request that crashes its server ended as unknown, its caller sent it again, and the router itself would try an idempotent one up to three times: each time another server was lost. Also: entries of instances that lapsed are removed after a minute, when they own nothing.

--- a/src/config/configstore.cpp
+++ b/src/config/configstore.cpp
@@ -105,7 +105,7 @@
     int64_t expectedVersion, const std::string& author)
 {
     const ObjectReader read = [&client](const std::string& name) { return client.read(name); };
-    const auto current = client.read(currentConfigObject);
+    auto current = client.read(currentConfigObject);
     if (!current.ok() && !absl::IsNotFound(current.status()))
         return { WriteOutcome::Refused, {}, std::string(current.status().message()) };
     const auto inForce = readCurrentManifest(
--- a/src/daemon/coordinationduty.cpp
+++ b/src/daemon/coordinationduty.cpp
@@ -8,6 +8,9 @@
 
     constexpr Milliseconds planInterval { 250 };
     constexpr Milliseconds takeoverInterval { 40 };
+    constexpr Milliseconds removalInterval { 5'000 };
+    // Other proofs may rest on the lapse of a witness: its entry is kept for so long.
+    constexpr std::chrono::seconds lapsedKeptFor { 60 };
     constexpr Milliseconds reportInterval { 200 };
     constexpr Milliseconds suspicionLifetime { 1'000 };
     // Suspicions go to so many instances, since the first may be the one that is lost.
@@ -42,6 +45,10 @@
         nextTakeover_ = now + takeoverInterval;
         takeOver(now);
     }
+    if (now >= nextRemoval_) {
+        nextRemoval_ = now + removalInterval;
+        removeLapsed(now);
+    }
     if (isPlanDue_ || now >= nextTablePlan_) {
         const bool viewChanged = std::exchange(isPlanDue_, false);
         nextTablePlan_ = now + planInterval;
@@ -118,6 +125,23 @@
     }
 }
 
+void CoordinationDuty::removeLapsed(TimePoint now)
+{
+    for (const auto& [name, node] : context_.view->nodes) {
+        const InstanceId id = instanceId(node->entry);
+        if (node->entry.state != stored::State::Lapsed)
+            continue;
+        const TimePoint since = lapsedSince_.emplace(id, now).first->second;
+        const bool isDue = now - since >= lapsedKeptFor && isCoordinator(node->entry.service);
+        if (!isDue || !GrantKeeper::ownsNothing(*context_.view, id))
+            continue;
+        context_.store->remove(name, node->version);
+        lapsedSince_[id] = now;
+    }
+    for (auto lapsed = lapsedSince_.begin(); lapsed != lapsedSince_.end();)
+        lapsed = context_.view->node(lapsed->first) ? std::next(lapsed) : lapsedSince_.erase(lapsed);
+}
+
 void CoordinationDuty::writeTables(TimePoint now, bool viewChanged)
 {
     for (const std::string& service : services()) {
--- a/src/daemon/coordinationduty.h
+++ b/src/daemon/coordinationduty.h
@@ -42,12 +42,16 @@
     void writeReleases();
     void writeTables(TimePoint now, bool viewChanged);
     void takeOver(TimePoint now);
+    // Removes the entries of instances that lapsed long ago and own nothing.
+    void removeLapsed(TimePoint now);
 
     ControlContext& context_;
     GrantKeeper grants_;
     Takeover takeover_;
     TablePlanner planner_;
     std::map<InstanceId, TimePoint> suspectedUntil_;
+    std::map<InstanceId, TimePoint> lapsedSince_; // As this daemon first saw it.
+    TimePoint nextRemoval_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
     TimePoint nextTablePlan_;
     TimePoint nextTakeover_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -100,7 +100,8 @@
     , limiter_(
           { &authority_, &network_, [this] { return control_.view(); }, [this] { return control_.self(); } })
     , entrance_({ settings_, addresses.caller, &authority_, &forwarder_, &limiter_, &counters_,
-          [this] { return control_.view(); }, [this] { return control_.self(); } })
+          [this] { return control_.view(); }, [this] { return control_.self(); },
+          [this](const std::string& fingerprint) { reportCrash(fingerprint); } })
     , operatorPort_({ addresses.operatorPort, [this] { return counters_.exposition(); },
           [this] { return status(); }, [this] { return timeline_.jsonLines(); } })
 {
@@ -155,6 +156,10 @@
         forwarder_.onRefusal(link, *message.refusal);
     } else if (message.cancel) {
         gateway_.onCancel(link, *message.cancel);
+    } else if (message.crashReport) {
+        const peer::CrashReport& report = *message.crashReport;
+        entrance_.noteCrash(report.fingerprint,
+            nodeObject(instanceId(report.reporter)) + "/" + std::to_string(report.sequence));
     } else if (message.shareRequest) {
         limiter_.onShareRequest(link, *message.shareRequest);
     } else if (message.shareGrant) {
@@ -164,6 +169,21 @@
     }
 }
 
+void Daemon::reportCrash(const std::string& fingerprint)
+{
+    const InstanceId self = control_.self();
+    peer::PeerMessage message;
+    message.crashReport = peer::CrashReport { fingerprint, toMessage(self), ++crashReports_ };
+    timeline_.record("server-crash-suspect", { { "fingerprint", fingerprint } });
+    counters_.counter("crash_suspects_total")++;
+    entrance_.noteCrash(fingerprint, nodeObject(self) + "/" + std::to_string(message.crashReport->sequence));
+    const auto view = control_.view();
+    for (const auto& [name, node] : view->nodes) {
+        if (node->entry.state == stored::State::Joined && instanceId(node->entry) != self)
+            network_.send(network_.linkTo(node->entry.peerAddress), { message, {} });
+    }
+}
+
 std::string Daemon::status() const
 {
     const auto view = control_.view();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -10,6 +10,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <atomic>
 #include <memory>
 #include <string>
 
@@ -51,6 +52,7 @@
     Daemon(settings::SettingsSchema settings, const std::string& secret, const Addresses& addresses);
 
     void onFrame(LinkId link, Frame frame);
+    void reportCrash(const std::string& fingerprint);
     std::string status() const;
 
     settings::SettingsSchema settings_;
@@ -65,6 +67,7 @@
     TeamLimiter limiter_;
     Entrance entrance_;
     OperatorPort operatorPort_;
+    std::atomic<int64_t> crashReports_ { 0 };
     bool isRunning_ = false;
 };
 
--- a/src/daemon/entrance.cpp
+++ b/src/daemon/entrance.cpp
@@ -168,6 +168,8 @@
     if (auto* refusal = std::get_if<Reply>(&result))
         return std::move(*refusal);
     passage.routed = std::move(std::get<RoutedRequest>(result));
+    passage.fingerprint = requestFingerprint(passage.routed.team, passage.routed.routeName,
+        passage.caller.method, passage.caller.target, passage.body);
     if (auto refusal = charge(passage))
         return *std::move(refusal);
     const std::string* idempotencyKey = passage.caller.header("Idempotency-Key");
@@ -218,6 +220,8 @@
     Reply last = notRun(RefusalReason::NoOwner, "nobody serves the key at present");
     const TimePoint holdEnd = std::min(passage.deadline, passage.began + longestHold);
     while (true) {
+        if (isHeldBack(passage))
+            return notRun(RefusalReason::Quarantined, "the request crashed two backend servers");
         const auto view = options_.view();
         if (const auto server = findServer(*view, passage)) {
             auto group = std::make_shared<CallGroup>();
@@ -375,6 +379,8 @@
 void Entrance::noteEnd(const Passage& passage, const Copy& copy, const Reply& reply)
 {
     const TimePoint now = BootClock::now();
+    if (!reply.isAnswer && reply.reason == RefusalReason::ServerFailed)
+        options_.reportCrash(passage.fingerprint);
     std::lock_guard lock(mutex_);
     if (reply.isAnswer && passage.routed.partition < 0)
         choiceOf(passage).succeeded(copy.server, now - copy.began, now);
@@ -395,6 +401,18 @@
     return budget_.tryTake();
 }
 
+void Entrance::noteCrash(const std::string& fingerprint, const std::string& crashId)
+{
+    std::lock_guard lock(mutex_);
+    quarantine_.crashed(fingerprint, crashId, BootClock::now());
+}
+
+bool Entrance::isHeldBack(const Passage& passage) const
+{
+    std::lock_guard lock(mutex_);
+    return quarantine_.isHeldBack(passage.fingerprint, BootClock::now());
+}
+
 bool Entrance::mayRetry(const Passage& passage, const Reply& reply)
 {
     if (BootClock::now() >= passage.deadline)
--- a/src/daemon/entrance.h
+++ b/src/daemon/entrance.h
@@ -4,6 +4,7 @@
 #include "daemon/forwarder.h"
 #include "daemon/teamlimiter.h"
 #include "messages/generated/settings.h"
+#include "routing/quarantine.h"
 #include "routing/retrybudget.h"
 #include "routing/router.h"
 #include "routing/serverchoice.h"
@@ -33,6 +34,8 @@
     Counters* counters = nullptr;
     std::function<std::shared_ptr<const FleetView>()> view;
     std::function<InstanceId()> self;
+    // Tells all daemons that a server crashed with the request in flight.
+    std::function<void(const std::string& fingerprint)> reportCrash;
 };
 
 // Where callers' requests enter: finds the route, the team and the rightful server of each, charges the
@@ -51,6 +54,9 @@
     // The configuration may have changed.
     void onView(const std::shared_ptr<const FleetView>& view);
 
+    // A server crashed with the request in flight, here or as another daemon tells.
+    void noteCrash(const std::string& fingerprint, const std::string& crashId);
+
 private:
     // One request on its way.
     struct Passage {
@@ -58,6 +64,7 @@
         RoutedRequest routed;
         peer::ForwardedRequest request;
         std::string body;
+        std::string fingerprint;
         TimePoint began;
         TimePoint deadline;
         std::vector<InstanceId> tried; // Servers that gave no answer to a request not divided by key.
@@ -86,6 +93,7 @@
     std::optional<Copy> hedge(
         const FleetView& view, Passage& passage, const Copy& first, const std::shared_ptr<CallGroup>& group);
     void noteEnd(const Passage& passage, const Copy& copy, const Reply& reply);
+    bool isHeldBack(const Passage& passage) const;
     bool mayRetry(const Passage& passage, const Reply& reply);
     bool takeFromBudget();
     // Call with the mutex held.
@@ -100,6 +108,7 @@
     std::shared_ptr<const Configuration> routedConfiguration_;
     std::map<std::string, ServerChoice> choices_; // By service.
     RetryBudget budget_;
+    Quarantine quarantine_;
 };
 
 }
--- a/src/gate/backendserver.cpp
+++ b/src/gate/backendserver.cpp
@@ -61,10 +61,12 @@
         return result;
     }
 
-    ServerAnswer failure(httplib::Error error)
+    // A connection that broke before the time was up says that the server failed.
+    ServerAnswer failure(httplib::Error error, bool isTimeUp)
     {
         ServerAnswer answer;
         answer.detail = httplib::to_string(error);
+        answer.reason = isTimeUp ? RefusalReason::AnswerLost : RefusalReason::ServerFailed;
         if (error == httplib::Error::Connection) {
             answer.outcome = ServerOutcome::NotStarted;
             answer.reason = RefusalReason::ServerUnreachable;
@@ -90,9 +92,10 @@
 {
     client_->set_read_timeout(request.timeout);
     client_->set_write_timeout(request.timeout);
+    const TimePoint began = BootClock::now();
     auto result = client_->send(toLibrary(request));
     if (!result)
-        return failure(result.error());
+        return failure(result.error(), BootClock::now() - began >= request.timeout);
     ServerAnswer answer;
     if (result->status == statusUnavailable && result->has_header(notStartedHeader)) {
         answer.outcome = ServerOutcome::NotStarted;
--- a/src/gate/gate.cpp
+++ b/src/gate/gate.cpp
@@ -271,7 +271,7 @@
     else
         limit_.fail();
     // A server that cannot be reached comes back cold, before its health check tells.
-    if (answer.reason == RefusalReason::ServerUnreachable)
+    if (answer.reason == RefusalReason::ServerUnreachable || answer.reason == RefusalReason::ServerFailed)
         limit_.turnCold();
 }
 
--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -1,4 +1,5 @@
 #include "base/hashing.h"
+#include "routing/quarantine.h"
 #include "routing/router.h"
 #include "routing/serverchoice.h"
 
@@ -73,6 +74,25 @@
     STRCMP_EQUAL("Accept", kept[0].name.c_str());
 }
 
+TEST_GROUP(Quarantine) {};
+
+TEST(Quarantine, HoldsARequestBackAfterTwoCrashesUntilTheMemoryEnds)
+{
+    Quarantine quarantine;
+    const TimePoint now { std::chrono::hours(1) };
+    const std::string request = requestFingerprint("a", "r", "POST", "/x", "body");
+    CHECK(request != requestFingerprint("a", "r", "POST", "/xb", "ody"));
+    quarantine.crashed(request, "one/1", now);
+    quarantine.crashed(request, "one/1", now);
+    CHECK_FALSE(quarantine.isHeldBack(request, now));
+    quarantine.crashed(request, "two/1", now);
+    CHECK(quarantine.isHeldBack(request, now));
+    CHECK_FALSE(quarantine.isHeldBack(requestFingerprint("a", "r", "POST", "/x", "other"), now));
+    CHECK_FALSE(quarantine.isHeldBack(request, now + Quarantine::memory));
+    quarantine.expire(now + Quarantine::memory);
+    LONGS_EQUAL(0, quarantine.size());
+}
+
 TEST_GROUP(ServerChoice) {};
 
 TEST(ServerChoice, LeavesAStragglerOutAndTakesItBackAfterAGoodProbe)
