--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -57,7 +57,7 @@
 
 apply() {
     for _ in $(seq 50); do
-        "$bin/persimmonctl" apply "$work/config" && return
+        "$bin/persimmonctl" apply "$work/config" --wait && return
         sleep 0.2
     done
     return 1
--- a/src/persimmonctl/configcommands.cpp
+++ b/src/persimmonctl/configcommands.cpp
@@ -2,6 +2,7 @@
 
 #include "config/configparser.h"
 #include "config/configstore.h"
+#include "persimmonctl/fleetcommands.h"
 #include "persimmonctl/linediff.h"
 
 #include <fmt/chrono.h>
@@ -23,6 +24,7 @@
     using nlohmann::json;
 
     constexpr Milliseconds callTimeout { 3'000 };
+    constexpr Milliseconds waitPatience { 30'000 };
     // Remembers in a directory which version its files were last compared with.
     constexpr const char* versionFileName = ".persimmonfield-version";
 
@@ -155,6 +157,20 @@
 
 }
 
+namespace {
+
+    ExitCode awaitInForce(const ConfigCommandOptions& options, int64_t version)
+    {
+        const auto lagging = waitUntilInForce(options.platformUrl, version, waitPatience);
+        if (!lagging.ok())
+            return reportPlatform(std::string(lagging.status().message()));
+        for (const std::string& name : *lagging)
+            fmt::print(stderr, "persimmonctl: not in force on {}\n", name);
+        return lagging->empty() ? ExitCode::Ok : ExitCode::Lagging;
+    }
+
+}
+
 ExitCode checkCommand(const ConfigCommandOptions& options)
 {
     const LoadedDirectory loaded = loadDirectory(options.directory);
@@ -177,7 +193,9 @@
         if (options.asJson)
             fmt::print("{}\n", json { { "version", result.manifest.version } }.dump());
         else
-            fmt::print("version {} is in force\n", result.manifest.version);
+            fmt::print("version {} is accepted\n", result.manifest.version);
+        if (options.waits)
+            return awaitInForce(options, result.manifest.version);
     } else if (result.outcome == WriteOutcome::Conflict) {
         explainConflict(client, result.manifest, loaded.files);
     } else {
--- a/src/persimmonctl/configcommands.h
+++ b/src/persimmonctl/configcommands.h
@@ -13,6 +13,7 @@
     std::string directory;
     std::optional<int64_t> expectedVersion;
     bool asJson = false;
+    bool waits = false; // Return only when the change is in force everywhere.
 };
 
 // Says whether the directory's files are a valid configuration.
--- a/src/persimmonctl/fleetcommands.cpp
+++ b/src/persimmonctl/fleetcommands.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <thread>
 #include <tuple>
 #include <vector>
 
@@ -18,6 +19,7 @@
     using nlohmann::json;
 
     constexpr Milliseconds callTimeout { 2'000 };
+    constexpr Milliseconds pollInterval { 200 };
     constexpr size_t keyBytes = 32;
 
     absl::StatusOr<std::vector<stored::NodeEntry>> listInstances(const std::string& platformUrl)
@@ -97,6 +99,28 @@
     return ExitCode::Ok;
 }
 
+absl::StatusOr<std::vector<std::string>> waitUntilInForce(
+    const std::string& platformUrl, int64_t version, Milliseconds patience)
+{
+    const TimePoint end = BootClock::now() + patience;
+    while (true) {
+        const auto entries = listInstances(platformUrl);
+        if (!entries.ok())
+            return entries.status();
+        std::vector<std::string> lagging;
+        for (const stored::NodeEntry& entry : *entries) {
+            if (entry.state != stored::State::Joined)
+                continue;
+            const json status = json::parse(ask(entry, "/status"), nullptr, false);
+            if (!status.is_object() || status.value("configVersion", int64_t { 0 }) < version)
+                lagging.push_back(entry.name);
+        }
+        if (lagging.empty() || BootClock::now() >= end)
+            return lagging;
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
 ExitCode timelineCommand(const FleetCommandOptions& options)
 {
     const auto entries = listInstances(options.platformUrl);
--- a/src/persimmonctl/fleetcommands.h
+++ b/src/persimmonctl/fleetcommands.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "base/time.h"
 #include "persimmonctl/exitcode.h"
 
+#include <absl/status/statusor.h>
+
 #include <string>
+#include <vector>
 
 namespace persimmonfield {
 
@@ -16,6 +20,11 @@
 // Shows instances, owners and the configuration version in force on each.
 ExitCode statusCommand(const FleetCommandOptions& options);
 
+// Waits until that configuration version is in force on every living instance, at most for `patience`. Names
+// those that lag or do not answer, or an error when the store was not reached.
+absl::StatusOr<std::vector<std::string>> waitUntilInForce(
+    const std::string& platformUrl, int64_t version, Milliseconds patience);
+
 // Prints the events of all instances, merged in the order of their hybrid time.
 ExitCode timelineCommand(const FleetCommandOptions& options);
 
--- a/src/persimmonctl/main.cpp
+++ b/src/persimmonctl/main.cpp
@@ -18,7 +18,7 @@
 
 Usage:
   persimmonctl [--platform=URL] check DIR [--json]
-  persimmonctl [--platform=URL] apply DIR [--expect=VERSION] [--json]
+  persimmonctl [--platform=URL] apply DIR [--expect=VERSION] [--wait] [--json]
   persimmonctl [--platform=URL] show [--into=DIR] [--json]
   persimmonctl [--platform=URL] history [--json]
   persimmonctl [--platform=URL] status [--json]
@@ -29,6 +29,7 @@
 Options:
   --platform=URL    The platform's object API; otherwise PERSIMMONFIELD_PLATFORM.
   --expect=VERSION  The version that is to be replaced; otherwise the one last shown to the directory.
+  --wait            Return when the change is in force on every instance, after 30 s at most.
   --into=DIR        Write the files in force into a directory instead of printing them.
   --instance=NAME   Only events of this instance.
   --kind=KIND       Only events of this kind.
@@ -42,6 +43,7 @@
   3  another version is in force than was expected; nothing was changed
   4  the platform's store was not reached; nothing was changed
   5  the outcome of the change could not be found out: see 'show'
+  6  accepted, but after 30 s not in force on the instances named
 )";
 
 std::string optional(const Arguments& arguments, const char* name)
@@ -67,6 +69,7 @@
     ConfigCommandOptions options;
     options.platformUrl = platformOf(arguments);
     options.asJson = arguments.at("--json").asBool();
+    options.waits = arguments.at("--wait").asBool();
     const bool shows = arguments.at("show").asBool();
     options.directory = optional(arguments, shows ? "--into" : "DIR");
     const std::string expected = optional(arguments, "--expect");
--- a/tests/path/path.cpp
+++ b/tests/path/path.cpp
@@ -161,6 +161,21 @@
                 .status);
 }
 
+TEST(Path, ApplyWithWaitNamesTheInstancesThatLag)
+{
+    std::string output;
+    const std::string directory = fleet->directory() + "/config";
+    LONGS_EQUAL(0, fleet->control({ "apply", directory, "--wait" }, output));
+    for (size_t i = 0; i < fleet->size(); ++i)
+        LONGS_EQUAL(2, fleet->status(i)["configVersion"].get<int>());
+    // Every daemon stands still, so that none takes the others out meanwhile.
+    for (size_t i = 0; i < fleet->size(); ++i)
+        fleet->daemon(i).signal(SIGSTOP);
+    LONGS_EQUAL(6, fleet->control({ "apply", directory, "--wait" }, output));
+    CHECK(output.find("not in force on one") != std::string::npos);
+    CHECK(output.find("not in force on two") != std::string::npos);
+}
+
 TEST(Path, ConflictingChangesAreRefusedWithWhoAndWhat)
 {
     std::string output;
