Limits: a refusal long past no longer counts as the home's answer

Cause: when a team's home moved, an instance that had last heard a refusal of the old home, however long ago, gave the request up after 30 ms instead of waiting for the new home: rate-exceeded within the rate. Seen in tests/faults (zone out and back, store outage) on a busy machine, 1 run of 5. Ruled out: the bucket itself, whose fuzz and bench show no such refusal. A refusal now counts for 20 ms. Time line: control messages carry the hybrid clock, so that the events of several daemons are ordered by cause; a clock over a minute ahead is not followed.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,4 +19,6 @@
 if [ "$lint" = yes ]; then
     scripts/lint.sh "build/$preset"
 fi
+echo "Known to fail, measured by scripts/bench.sh only:"
+cat KNOWN-RED.txt
 ctest --test-dir "build/$preset" --output-on-failure --no-tests=error
--- a/src/base/timeline.cpp
+++ b/src/base/timeline.cpp
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace persimmonfield {
+namespace {
+
+    // A process whose clock is further ahead is wrong about the time, and would drag all others along.
+    constexpr std::chrono::minutes mostAhead { 1 };
+
+}
 
 Timeline::Timeline(std::string instance, size_t capacity)
     : instance_(std::move(instance))
@@ -34,7 +40,8 @@
 void Timeline::observe(HybridTime remote)
 {
     std::lock_guard lock(mutex_);
-    if (clock_ < remote)
+    const bool isPlausible = remote.wall < wallClockNow() + mostAhead;
+    if (clock_ < remote && isPlausible)
         clock_ = remote;
 }
 
--- a/src/base/timeline.h
+++ b/src/base/timeline.h
@@ -39,7 +39,7 @@
     // Adds an event at the present time and logs it.
     void record(std::string kind, nlohmann::json fields);
 
-    // Moves the clock past a time that another process sent.
+    // Moves the clock past a time that another process sent, unless that is implausibly far ahead.
     void observe(HybridTime remote);
 
     HybridTime now();
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -170,6 +170,8 @@
 void Control::handle(LinkId link, const peer::PeerMessage& message)
 {
     const TimePoint now = BootClock::now();
+    if (message.clock)
+        options_.timeline->observe({ Milliseconds(message.clock->wallMs), message.clock->logical });
     if (message.digest) {
         if (const auto answer = gossip_.onDigest(*message.digest, now))
             reply(link, *answer);
@@ -259,7 +261,10 @@
 
 void Control::reply(LinkId link, const peer::PeerMessage& message) const
 {
-    options_.network->send(link, { message, {} });
+    peer::PeerMessage clocked = message;
+    const HybridTime now = options_.timeline->now();
+    clocked.clock = peer::HybridClock { now.logical, now.wall.count() };
+    options_.network->send(link, { clocked, {} });
 }
 
 }
--- a/src/daemon/teamlimiter.cpp
+++ b/src/daemon/teamlimiter.cpp
@@ -9,6 +9,8 @@
     // A request waits so long for tokens that the home expects soon, and so long for a home that is silent.
     constexpr Milliseconds tokenPatience { 30 };
     constexpr Milliseconds homePatience { 3'000 };
+    // Shorter than the patience for tokens, so that one refusal alone does not use it up.
+    constexpr Milliseconds refusalFreshness { 20 };
     constexpr Milliseconds askInterval { 5 };
     constexpr Milliseconds upkeepInterval { 50 };
     constexpr Milliseconds homeCheckInterval { 200 };
@@ -84,13 +86,15 @@
             state.share.addWaiter();
         isWaiting = true;
         const auto refusedUntil = state.share.refusedUntil();
-        const TimePoint patience = std::min(deadline, began + (refusedUntil ? tokenPatience : homePatience));
-        if (refusedUntil && *refusedUntil > patience) {
+        // A refusal long past says nothing: its home may have moved, and the new one has not answered yet.
+        const bool isRefused = refusedUntil && now < *refusedUntil + refusalFreshness;
+        const TimePoint patience = std::min(deadline, began + (isRefused ? tokenPatience : homePatience));
+        if (isRefused && *refusedUntil > patience) {
             decision = { RateVerdict::Exceeded, *refusedUntil - now };
             break;
         }
         if (now >= patience) {
-            decision.verdict = refusedUntil ? RateVerdict::Exceeded : RateVerdict::Unavailable;
+            decision.verdict = isRefused ? RateVerdict::Exceeded : RateVerdict::Unavailable;
             break;
         }
         sendDemand(*view, team, state, now);
--- a/src/messages/frame.cpp
+++ b/src/messages/frame.cpp
@@ -8,6 +8,7 @@
     using nlohmann::json;
 
     constexpr const char* bodyMember = "body";
+    constexpr const char* clockMember = "clock";
 
     std::string takeBody(json& value)
     {
@@ -49,9 +50,10 @@
             return absl::InvalidArgumentError("the frame is no map");
         Frame frame;
         frame.body = takeBody(value);
-        if (value.size() != 1)
+        if (value.size() - value.count(clockMember) != 1)
             return absl::InvalidArgumentError("the frame does not hold exactly one message");
-        const std::string kind = value.begin().key();
+        const auto first = value.begin();
+        const std::string kind = first.key() == clockMember ? std::next(first).key() : first.key();
         frame.message = value.get<peer::PeerMessage>();
         if (json(frame.message).value(kind, json()).is_null())
             return absl::InvalidArgumentError("the frame holds a message of unknown kind");
--- a/tests/messages/messages.cpp
+++ b/tests/messages/messages.cpp
@@ -22,6 +22,11 @@
     CHECK(decoded->body == frame.body);
     LONGS_EQUAL(7, decoded->message.bodyChunk->id);
     CHECK_FALSE(decoded->message.digest.has_value());
+    frame.message.clock = peer::HybridClock { 3, 4 };
+    LONGS_EQUAL(7, decodeFrame(encodeFrame(frame))->message.bodyChunk->id);
+    Frame onlyClock;
+    onlyClock.message.clock = peer::HybridClock { 3, 4 };
+    CHECK_FALSE(decodeFrame(encodeFrame(onlyClock)).ok());
 }
 
 TEST(Frame, MalformedBytesAreRefusedWithAnError)
