--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,7 +2,7 @@
 # Installs from Debian's packages what the build and the tests need; does nothing when all is there.
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy curl
-    libabsl-dev libwebsocketpp-dev libasio-dev libcpp-httplib-dev libinih-dev libdocopt-dev libfmt-dev
+    libabsl-dev libwebsocketpp-dev libasio-dev libboost-dev libcpp-httplib-dev libinih-dev libdocopt-dev libfmt-dev
     nlohmann-json3-dev libxxhash-dev libssl-dev libcpputest-dev librapidcheck-dev)
 missing=()
 for package in "${packages[@]}"; do
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,6 +2,6 @@
 # Checks formatter and linter. Usage: scripts/lint.sh BUILD_DIR
 set -euo pipefail
 cd "$(dirname "$0")/.."
-find src tests bench \( -name '*.h' -o -name '*.cpp' \) -not -path '*/generated/*' -print0 \
+find src tests bench platform \( -name '*.h' -o -name '*.cpp' \) -not -path '*/generated/*' -print0 \
     | xargs -0 clang-format --dry-run --Werror
-find src -name '*.cpp' -print0 | xargs -0 -n 1 -P "$(nproc)" clang-tidy --quiet -p "$1"
+find src platform -name '*.cpp' -print0 | xargs -0 -n 1 -P "$(nproc)" clang-tidy --quiet -p "$1"
--- a/src/base/logger.h
+++ b/src/base/logger.h
@@ -19,7 +19,17 @@
 // Sets the instance name that each line carries.
 void setLogInstance(std::string_view name);
 
-// Writes one JSON line to standard error: time, level, instance, event and the given fields.
+// Writes one JSON line to standard output: time, level, instance, event and the given fields.
 void log(LogLevel level, std::string_view event, const nlohmann::json& fields);
 
+// Writes lines from a thread of its own while it exists, so that whoever logs never waits for the output.
+// Lines beyond the bound are dropped, and their number is told by the next line that is written.
+class LogWriter {
+public:
+    LogWriter();
+    ~LogWriter();
+    LogWriter(const LogWriter&) = delete;
+    LogWriter& operator=(const LogWriter&) = delete;
+};
+
 }
--- a/src/config/configstore.cpp
+++ b/src/config/configstore.cpp
@@ -1,7 +1,7 @@
 #include "config/configstore.h"
 
 #include "base/hashing.h"
-#include "platform/resolvedwrite.h"
+#include "store/resolvedwrite.h"
 
 #include <fmt/format.h>
 
--- a/src/config/configstore.h
+++ b/src/config/configstore.h
@@ -2,7 +2,7 @@
 
 #include "config/inifile.h"
 #include "messages/generated/stored.h"
-#include "platform/objectclient.h"
+#include "store/objectclient.h"
 
 #include <functional>
 #include <string>
--- a/src/daemon/storeworker.h
+++ b/src/daemon/storeworker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/boundedring.h"
-#include "platform/resolvedwrite.h"
+#include "store/resolvedwrite.h"
 
 #include <atomic>
 #include <functional>
--- /dev/null
+++ b/src/http/httpclient.cpp
@@ -0,0 +1,72 @@
+#include "http/httpclient.h"
+
+#include "http/httpclientconnection.h"
+
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+
+HttpClient::HttpClient(asio::io_context& loop, HttpClientOptions options)
+    : loop_(loop)
+    , options_(std::move(options))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    const auto calls = std::move(calls_);
+    const auto idle = std::move(idle_);
+    for (const auto& [id, connection] : calls)
+        connection->close();
+    for (const auto& connection : idle)
+        connection->close();
+}
+
+HttpClient::CallId HttpClient::call(HttpRequest request, Duration timeout, Done done)
+{
+    if (!request.header("Host"))
+        request.headers.push_back({ "Host", options_.address.text() });
+    std::shared_ptr<HttpClientConnection> connection;
+    if (idle_.empty()) {
+        connection = std::make_shared<HttpClientConnection>(*this);
+    } else {
+        connection = idle_.front();
+        idle_.pop_front();
+    }
+    const CallId id = nextId_++;
+    calls_[id] = connection;
+    connection->start(id, std::move(request), timeout, std::move(done));
+    return id;
+}
+
+void HttpClient::cancel(CallId id)
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end())
+        return;
+    const auto connection = found->second;
+    connection->close();
+}
+
+void HttpClient::closeAll()
+{
+    std::vector<std::shared_ptr<HttpClientConnection>> all(idle_.begin(), idle_.end());
+    for (const auto& [id, connection] : calls_)
+        all.push_back(connection);
+    for (const auto& connection : all)
+        connection->abort("all connections were closed");
+}
+
+void HttpClient::release(const std::shared_ptr<HttpClientConnection>& connection)
+{
+    idle_.push_front(connection);
+}
+
+void HttpClient::forget(const HttpClientConnection& connection)
+{
+    calls_.erase(connection.callId());
+    idle_.remove_if([&connection](const auto& each) { return each.get() == &connection; });
+}
+
+}
--- /dev/null
+++ b/src/http/httpclientconnection.cpp
@@ -0,0 +1,255 @@
+#include "http/httpclientconnection.h"
+
+#include "http/silenceprobe.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <asio/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    namespace http = boost::beast::http;
+
+    // The largest answer that is taken from a server.
+    constexpr uint64_t largestAnswer = 64ULL * 1024 * 1024;
+    constexpr int firstFinalStatus = 200;
+    // A kept connection is given up this long before the server closes it.
+    constexpr Milliseconds idleMargin { 1'000 };
+
+    HttpResponse responseFrom(http::response<http::string_body> message)
+    {
+        HttpResponse response;
+        response.status = static_cast<int>(message.result_int());
+        for (const auto& field : message) {
+            response.headers.push_back({ std::string(field.name_string().data(), field.name_string().size()),
+                std::string(field.value().data(), field.value().size()) });
+        }
+        response.body = std::move(message.body());
+        return response;
+    }
+
+}
+
+HttpClientConnection::HttpClientConnection(HttpClient& client)
+    : client_(&client)
+    , socket_(client.loop_)
+    , timer_(client.loop_)
+    , connectTimer_(client.loop_)
+    , idleTimeout_(client.options_.idleTimeout)
+{
+}
+
+void HttpClientConnection::start(
+    HttpClient::CallId id, HttpRequest request, Duration timeout, HttpClient::Done done)
+{
+    callId_ = id;
+    request_ = std::move(request);
+    done_ = std::move(done);
+    hasSent_ = false;
+    isWritten_ = false;
+    armDeadline(timeout);
+    if (isConnected_)
+        write();
+    else
+        connect();
+}
+
+void HttpClientConnection::connect()
+{
+    std::error_code error;
+    const Address& address = client_->options_.address;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(address.host, error), static_cast<uint16_t>(address.port));
+    ++client_->connectionsOpened_;
+    connectTimer_.expires_after(client_->options_.connectTimeout);
+    connectTimer_.async_wait([weak = weak_from_this()](std::error_code failure) {
+        const auto self = weak.lock();
+        if (!failure && self && !self->isConnected_)
+            self->finish(CallOutcome::NotSent, "the connection took too long");
+    });
+    socket_.async_connect(endpoint, [self = shared_from_this()](std::error_code failure) {
+        if (!self->client_ || self->isIdle())
+            return;
+        self->connectTimer_.cancel();
+        if (failure)
+            return self->finish(CallOutcome::NotSent, failure.message());
+        self->isConnected_ = true;
+        std::error_code ignored;
+        self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        if (self->client_->options_.noticesSilence)
+            probeSilence(self->socket_);
+        self->write();
+    });
+}
+
+void HttpClientConnection::write()
+{
+    hasSent_ = true;
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(largestAnswer);
+    parser_->skip(request_.method == "HEAD");
+    auto bytes = std::make_shared<std::string>(encodeRequest(request_));
+    asio::async_write(
+        socket_, asio::buffer(*bytes), [self = shared_from_this(), bytes](std::error_code error, size_t) {
+            // A server may answer and close before it has read all: the reading side decides.
+            if (!error)
+                self->isWritten_ = true;
+        });
+    read();
+}
+
+void HttpClientConnection::read()
+{
+    if (isReading_ || !client_)
+        return;
+    isReading_ = true;
+    socket_.async_read_some(
+        asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, size_t size) {
+            self->isReading_ = false;
+            if (self->client_)
+                self->received(error, size);
+        });
+}
+
+void HttpClientConnection::received(std::error_code error, size_t size)
+{
+    // Bytes on an idle connection belong to no request.
+    if (isIdle())
+        return close();
+    if (error)
+        return ended(error);
+    buffer_.append(chunk_.data(), size);
+    parse();
+}
+
+void HttpClientConnection::parse()
+{
+    while (client_ && !isIdle() && !buffer_.empty()) {
+        boost::beast::error_code error;
+        const size_t used = parser_->put(boost::asio::buffer(buffer_), error);
+        buffer_.erase(0, used);
+        if (error && error != http::error::need_more)
+            return finish(CallOutcome::Lost, "what came is no answer: " + error.message());
+        if (parser_->is_done())
+            answered();
+        else if (error || used == 0)
+            break;
+    }
+    read();
+}
+
+// An answer without a length is whole when the connection ends in order, not when it breaks.
+void HttpClientConnection::ended(std::error_code error)
+{
+    if (error == asio::error::eof && parser_->is_header_done()) {
+        boost::beast::error_code failure;
+        parser_->put_eof(failure);
+        if (!failure && parser_->is_done()) {
+            isTainted_ = true;
+            return answered();
+        }
+    }
+    finish(CallOutcome::Lost, error.message());
+}
+
+void HttpClientConnection::answered()
+{
+    const bool keepsAlive = parser_->get().keep_alive();
+    HttpResponse response = responseFrom(parser_->release());
+    const auto& isAnswerTo = client_->options_.isAnswerTo;
+    const bool isInterim = response.status < firstFinalStatus;
+    const bool isForeign = isAnswerTo && !isInterim && !isAnswerTo(request_, response);
+    if (isInterim || isForeign) {
+        isTainted_ = isTainted_ || isForeign;
+        if (isForeign && !keepsAlive)
+            return finish(CallOutcome::Lost, "an answer to another request came");
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->body_limit(largestAnswer);
+        return;
+    }
+    noteKeepAlive(response);
+    isTainted_ = isTainted_ || !keepsAlive || !isWritten_ || !buffer_.empty();
+    finish(CallOutcome::Answered, {}, std::move(response));
+}
+
+void HttpClientConnection::noteKeepAlive(const HttpResponse& response)
+{
+    const std::string* value = response.header("Keep-Alive");
+    if (!value)
+        return;
+    const size_t at = value->find("timeout=");
+    int seconds = 0;
+    if (at == std::string::npos)
+        return;
+    const std::string digits = value->substr(at + std::string("timeout=").size());
+    if (absl::SimpleAtoi(digits.substr(0, digits.find_first_not_of("0123456789")), &seconds))
+        idleTimeout_ = std::min<Milliseconds>(
+            idleTimeout_, std::max(std::chrono::seconds(seconds) - idleMargin, Milliseconds(0)));
+}
+
+void HttpClientConnection::finish(CallOutcome outcome, std::string detail, HttpResponse response)
+{
+    if (isIdle())
+        return;
+    const auto self = shared_from_this();
+    const auto done = std::exchange(done_, nullptr);
+    timer_.cancel();
+    client_->calls_.erase(callId_);
+    if (outcome == CallOutcome::Answered && !isTainted_) {
+        client_->release(self);
+        armIdle();
+        read();
+    } else {
+        close();
+    }
+    done({ outcome, std::move(response), std::move(detail) });
+}
+
+void HttpClientConnection::armDeadline(Duration timeout)
+{
+    timer_.expires_after(timeout);
+    timer_.async_wait([weak = weak_from_this(), id = callId_](std::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->isIdle() || self->callId_ != id)
+            return;
+        self->finish(self->hasSent_ ? CallOutcome::TimedOut : CallOutcome::NotSent, "no answer came in time");
+    });
+}
+
+void HttpClientConnection::armIdle()
+{
+    timer_.expires_after(idleTimeout_);
+    timer_.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && self->isIdle())
+            self->close();
+    });
+}
+
+void HttpClientConnection::abort(const std::string& detail)
+{
+    if (isIdle())
+        close();
+    else
+        finish(hasSent_ ? CallOutcome::Lost : CallOutcome::NotSent, detail);
+}
+
+void HttpClientConnection::close()
+{
+    if (!client_)
+        return;
+    std::exchange(client_, nullptr)->forget(*this);
+    done_ = nullptr;
+    timer_.cancel();
+    connectTimer_.cancel();
+    std::error_code ignored;
+    socket_.close(ignored);
+}
+
+}
--- /dev/null
+++ b/src/http/httpserver.cpp
@@ -0,0 +1,99 @@
+#include "http/httpserver.h"
+
+#include "base/logger.h"
+#include "http/httpserverconnection.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+
+HttpExchange::HttpExchange(
+    std::weak_ptr<HttpServerConnection> connection, HttpRequest request, TimePoint arrived)
+    : connection_(std::move(connection))
+    , request_(std::move(request))
+    , arrived_(arrived)
+{
+}
+
+void HttpExchange::respond(HttpResponse response)
+{
+    if (std::exchange(isAnswered_, true))
+        return;
+    response_ = std::move(response);
+    onLeave_ = nullptr;
+    if (const auto connection = connection_.lock())
+        connection->flush();
+}
+
+HttpServer::HttpServer(asio::io_context& loop, Handler handler)
+    : loop_(loop)
+    , acceptor_(loop)
+    , handler_(std::move(handler))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+absl::Status HttpServer::listen(const Address& address)
+{
+    std::error_code error;
+    const asio::ip::tcp::endpoint endpoint(
+        asio::ip::make_address(address.host, error), static_cast<uint16_t>(address.port));
+    if (!error)
+        acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return absl::UnavailableError(
+            fmt::format("cannot listen on {}: {}", address.text(), error.message()));
+    accept();
+    return absl::OkStatus();
+}
+
+void HttpServer::accept()
+{
+    acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
+        if (isStopped_ || error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            log(LogLevel::Warning, "accept-failed", { { "cause", error.message() } });
+        } else {
+            const auto connection = std::make_shared<HttpServerConnection>(*this, std::move(socket));
+            connections_.insert(connection);
+            connection->start();
+        }
+        accept();
+    });
+}
+
+void HttpServer::drain()
+{
+    isDraining_ = true;
+    const std::vector<std::shared_ptr<HttpServerConnection>> all(connections_.begin(), connections_.end());
+    for (const auto& connection : all)
+        connection->drain();
+}
+
+void HttpServer::stop()
+{
+    if (std::exchange(isStopped_, true))
+        return;
+    std::error_code ignored;
+    acceptor_.close(ignored);
+    const std::vector<std::shared_ptr<HttpServerConnection>> all(connections_.begin(), connections_.end());
+    for (const auto& connection : all)
+        connection->close();
+}
+
+}
--- /dev/null
+++ b/src/http/httpserverconnection.cpp
@@ -0,0 +1,221 @@
+#include "http/httpserverconnection.h"
+
+#include "base/logger.h"
+
+#include <asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    namespace http = boost::beast::http;
+
+    // Requests of one connection that wait for their answers at the same time.
+    constexpr size_t mostRequestsAhead = 32;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusTooLarge = 413;
+    constexpr int statusHeadersTooLarge = 431;
+
+    HttpRequest requestFrom(http::request<http::string_body> message)
+    {
+        HttpRequest request;
+        request.method = std::string(message.method_string().data(), message.method_string().size());
+        request.target = std::string(message.target().data(), message.target().size());
+        for (const auto& field : message) {
+            request.headers.push_back({ std::string(field.name_string().data(), field.name_string().size()),
+                std::string(field.value().data(), field.value().size()) });
+        }
+        request.body = std::move(message.body());
+        return request;
+    }
+
+    int statusFor(const boost::beast::error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return statusHeadersTooLarge;
+        if (error == http::error::body_limit)
+            return statusTooLarge;
+        return statusBadRequest;
+    }
+
+}
+
+HttpServerConnection::HttpServerConnection(HttpServer& server, asio::ip::tcp::socket socket)
+    : server_(&server)
+    , socket_(std::move(socket))
+    , timer_(socket_.get_executor())
+{
+}
+
+void HttpServerConnection::start()
+{
+    std::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    armTimer();
+    read();
+}
+
+bool HttpServerConnection::mayReadOn() const
+{
+    return server_ && !hasEnded_ && waiting_.size() < mostRequestsAhead;
+}
+
+void HttpServerConnection::read()
+{
+    if (isReading_ || !server_)
+        return;
+    isReading_ = true;
+    socket_.async_read_some(
+        asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, size_t size) {
+            self->isReading_ = false;
+            if (error)
+                return self->leave();
+            if (!self->hasEnded_)
+                self->buffer_.append(self->chunk_.data(), size);
+            self->parse();
+            if (self->mayReadOn() || self->hasEnded_)
+                self->read();
+        });
+}
+
+// Parses what was read, as far as further requests may wait.
+void HttpServerConnection::parse()
+{
+    size_t used = 0;
+    while (mayReadOn() && used < buffer_.size()) {
+        if (!parser_) {
+            parser_.emplace();
+            parser_->eager(true);
+            parser_->header_limit(static_cast<uint32_t>(server_->limits_.headerBytes));
+            parser_->body_limit(server_->limits_.bodyBytes);
+        }
+        boost::beast::error_code error;
+        used += parser_->put(boost::asio::buffer(buffer_.data() + used, buffer_.size() - used), error);
+        const bool needsMore = error == http::error::need_more;
+        if (error && !needsMore)
+            return refuse(statusFor(error));
+        const bool wasInMessage = std::exchange(isInMessage_, true);
+        if (parser_->is_done())
+            accept();
+        else if (!wasInMessage)
+            armTimer();
+        if (needsMore)
+            break;
+    }
+    buffer_.erase(0, used);
+}
+
+void HttpServerConnection::accept()
+{
+    isInMessage_ = false;
+    const bool isLast = !parser_->get().keep_alive();
+    auto exchange
+        = std::make_shared<HttpExchange>(weak_from_this(), requestFrom(parser_->release()), BootClock::now());
+    parser_.reset();
+    exchange->isLastOnConnection_ = isLast;
+    hasEnded_ = isLast;
+    waiting_.push_back(exchange);
+    timer_.cancel();
+    server_->handler_(exchange);
+}
+
+// Answers what cannot be read as a request, after the answers that are still due.
+void HttpServerConnection::refuse(int status)
+{
+    log(LogLevel::Info, "request-unreadable", { { "status", status } });
+    hasEnded_ = true;
+    auto exchange = std::make_shared<HttpExchange>(weak_from_this(), HttpRequest {}, BootClock::now());
+    exchange->isLastOnConnection_ = true;
+    waiting_.push_back(exchange);
+    HttpResponse response;
+    response.status = status;
+    exchange->respond(std::move(response));
+}
+
+void HttpServerConnection::flush()
+{
+    if (!server_ || isWriting_)
+        return;
+    std::string bytes;
+    while (!waiting_.empty() && waiting_.front()->isAnswered_ && !shouldCloseAfterWrite_) {
+        const auto exchange = std::move(waiting_.front());
+        waiting_.pop_front();
+        // Requests that were read behind this one are answered first.
+        const bool isDrained = server_->isDraining_ && waiting_.empty();
+        shouldCloseAfterWrite_ = exchange->isLastOnConnection_ || isDrained;
+        hasEnded_ = hasEnded_ || shouldCloseAfterWrite_;
+        bytes += encodeResponse(
+            exchange->response_, { shouldCloseAfterWrite_, exchange->request_.method == "HEAD" });
+    }
+    if (!bytes.empty())
+        write(std::move(bytes));
+}
+
+void HttpServerConnection::write(std::string bytes)
+{
+    isWriting_ = true;
+    auto held = std::make_shared<std::string>(std::move(bytes));
+    asio::async_write(
+        socket_, asio::buffer(*held), [self = shared_from_this(), held](std::error_code error, size_t) {
+            self->isWriting_ = false;
+            if (error)
+                return self->leave();
+            if (self->shouldCloseAfterWrite_)
+                return self->close();
+            self->flush();
+            if (self->waiting_.empty() && !self->isInMessage_)
+                self->armTimer();
+            // Requests that had to wait for room are parsed now.
+            self->parse();
+            if (self->mayReadOn())
+                self->read();
+        });
+}
+
+// The caller closed the connection or it broke: nobody waits for the answers any more.
+void HttpServerConnection::leave()
+{
+    auto waiting = std::move(waiting_);
+    waiting_.clear();
+    close();
+    for (const auto& exchange : waiting) {
+        if (!exchange->isAnswered_ && exchange->onLeave_)
+            exchange->onLeave_();
+    }
+}
+
+void HttpServerConnection::drain()
+{
+    if (waiting_.empty() && !isInMessage_ && !isWriting_)
+        close();
+}
+
+void HttpServerConnection::close()
+{
+    if (!server_)
+        return;
+    const auto self = shared_from_this();
+    std::exchange(server_, nullptr)->remove(self);
+    timer_.cancel();
+    std::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+}
+
+// Bounds the time for the rest of a request, or the time that the connection may stay idle.
+void HttpServerConnection::armTimer()
+{
+    if (!server_)
+        return;
+    timer_.expires_after(isInMessage_ ? server_->limits_.headerTimeout : server_->limits_.idleTimeout);
+    timer_.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || !self->waiting_.empty())
+            return;
+        self->close();
+    });
+}
+
+}
--- /dev/null
+++ b/src/http/httpserverconnection.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "http/httpserver.h"
+
+#include <asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <deque>
+#include <optional>
+#include <string>
+
+namespace persimmonfield {
+
+// One connection of a caller: reads requests ahead, answers them in their order, and tells each waiting one
+// when the caller has left.
+class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection> {
+public:
+    HttpServerConnection(HttpServer& server, asio::ip::tcp::socket socket);
+
+    void start();
+
+    // Closes at once when nothing waits, otherwise after the requests that were read.
+    void drain();
+
+    void close();
+
+    // An exchange was given its answer.
+    void flush();
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void read();
+    void parse();
+    void accept();
+    void refuse(int status);
+    void write(std::string bytes);
+    void leave();
+    void armTimer();
+    bool mayReadOn() const;
+
+    HttpServer* server_; // Null once closed.
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::array<char, 8 * 1024> chunk_;
+    std::string buffer_; // Read and not parsed yet.
+    std::optional<Parser> parser_;
+    std::deque<std::shared_ptr<HttpExchange>> waiting_;
+    bool isReading_ = false;
+    bool isWriting_ = false;
+    bool shouldCloseAfterWrite_ = false;
+    bool hasEnded_ = false; // No further request is read.
+    bool isInMessage_ = false; // A part of a request was read.
+};
+
+}
--- a/src/messages/reply.h
+++ b/src/messages/reply.h
@@ -2,6 +2,8 @@
 
 #include "messages/generated/peer.h"
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,6 +59,8 @@
     peer::Outcome outcome = peer::Outcome::NotRun;
     RefusalReason reason = RefusalReason::Internal;
     std::string detail;
+    std::chrono::milliseconds retryAfter { 0 }; // When a further try may succeed; 0 when not known.
+    std::optional<peer::ServerLoad> load; // Of the server that answered or refused, where it is known.
 
     bool isNotRun() const { return !isAnswer && outcome == peer::Outcome::NotRun; }
 };
--- /dev/null
+++ b/src/ownership/keyholder.cpp
@@ -0,0 +1,106 @@
+#include "ownership/keyholder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr int wholePercent = 100;
+    // Handovers are remembered until the table shows the next owner; older ones are dropped.
+    constexpr size_t mostReleased = 256;
+
+    bool overlaps(const KeyGrant& grant, const stored::KeyRange& range)
+    {
+        return grant.first <= range.last && range.first <= grant.last;
+    }
+
+}
+
+KeyHolder::KeyHolder(KeyHolderOptions options)
+    : options_(std::move(options))
+{
+}
+
+Duration KeyHolder::longestHold(Duration holdTime) const
+{
+    return holdTime * (wholePercent + options_.driftPercent) / wholePercent;
+}
+
+void KeyHolder::assumeEarlierGrants(TimePoint now)
+{
+    earlierGrantedUntil_ = std::max(earlierGrantedUntil_, now + longestHold(options_.holdTime));
+}
+
+KeyAnswer KeyHolder::report(const KeyReport& report, const stored::KeyTable& table, TimePoint now)
+{
+    if (report.server != server_) {
+        earlierGrantedUntil_ = std::max(earlierGrantedUntil_, grantedUntil_);
+        grantedUntil_ = TimePoint();
+        server_ = report.server;
+        released_.clear();
+        granted_.clear();
+    }
+    reported_ = report.holds;
+    grantedBefore_ = std::exchange(granted_, {});
+    for (const KeyGrant& each : report.released)
+        released_.push_back(each);
+    if (released_.size() > mostReleased)
+        released_.erase(released_.begin(), released_.end() - mostReleased);
+    KeyAnswer answer;
+    // The instance's lease must outlast the hold, however slowly the server's clock runs.
+    const Duration byLease = (leaseEnd_ - now) * wholePercent / (wholePercent + options_.driftPercent);
+    const auto holdTime
+        = std::chrono::duration_cast<Milliseconds>(std::min<Duration>(options_.holdTime, byLease));
+    if (holdTime <= Milliseconds(0))
+        return answer;
+    for (const stored::KeyRange& range : table.ranges) {
+        if (range.instance != options_.instance || lifeOf(range) != server_ || !range.target.empty())
+            continue;
+        answer.grants.push_back({ range.first, range.last, range.fence, range.handover });
+    }
+    answer.holdTime = holdTime;
+    granted_ = answer.grants;
+    if (!granted_.empty() || !reported_.empty()) {
+        grantedUntil_ = std::max(grantedUntil_, now + longestHold(holdTime));
+        mayRunUntil_ = now + holdTime;
+    }
+    return answer;
+}
+
+bool KeyHolder::mayRun(int key, TimePoint now) const
+{
+    if (now >= mayRunUntil_)
+        return false;
+    return std::any_of(granted_.begin(), granted_.end(),
+        [key](const KeyGrant& grant) { return grant.first <= key && key <= grant.last; });
+}
+
+bool KeyHolder::isReleased(const stored::KeyRange& range, TimePoint now) const
+{
+    if (haveAllGrantsEnded(now))
+        return true;
+    const auto touches = [&range](const KeyGrant& grant) { return overlaps(grant, range); };
+    return std::none_of(granted_.begin(), granted_.end(), touches)
+        && std::none_of(grantedBefore_.begin(), grantedBefore_.end(), touches)
+        && std::none_of(reported_.begin(), reported_.end(), touches);
+}
+
+std::string KeyHolder::handover(const stored::KeyRange& range) const
+{
+    const auto found = std::find_if(released_.rbegin(), released_.rend(),
+        [&range](const KeyGrant& grant) { return overlaps(grant, range); });
+    return found == released_.rend() ? std::string() : found->handover;
+}
+
+bool KeyHolder::haveEarlierGrantsEnded(const ServerLife& life, TimePoint now) const
+{
+    return now >= earlierGrantedUntil_ && (life == server_ || now >= grantedUntil_);
+}
+
+bool KeyHolder::haveAllGrantsEnded(TimePoint now) const
+{
+    return now >= earlierGrantedUntil_ && now >= grantedUntil_;
+}
+
+}
--- a/src/persimmonctl/fleetcommands.cpp
+++ b/src/persimmonctl/fleetcommands.cpp
@@ -2,7 +2,7 @@
 
 #include "base/hashing.h"
 #include "messages/generated/stored.h"
-#include "platform/objectclient.h"
+#include "store/objectclient.h"
 
 #include <fmt/format.h>
 #include <httplib.h>
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -8,8 +8,15 @@
 // further. Not thread-safe.
 class RetryBudget {
 public:
+    explicit RetryBudget(double shareOfTraffic = 0.1, double mostLevel = 50)
+        : shareOfTraffic_(shareOfTraffic)
+        , mostLevel_(mostLevel)
+        , level_(std::min(mostLevel, firstLevel))
+    {
+    }
+
     // One request of the normal traffic was sent.
-    void noteRequest() { level_ = std::min(mostLevel, level_ + shareOfTraffic); }
+    void noteRequest() { level_ = std::min(mostLevel_, level_ + shareOfTraffic_); }
 
     // Whether one more retry or hedge may be sent; takes it from the budget.
     bool tryTake()
@@ -21,10 +28,11 @@
     }
 
 private:
-    static constexpr double shareOfTraffic = 0.1;
-    static constexpr double mostLevel = 50;
+    static constexpr double firstLevel = 10;
 
-    double level_ = 10;
+    double shareOfTraffic_;
+    double mostLevel_;
+    double level_;
 };
 
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -3,7 +3,10 @@
 #include "base/hashing.h"
 #include "ownership/fleetview.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <fmt/format.h>
 
@@ -15,7 +18,6 @@
 namespace {
 
     constexpr const char* authorizationHeader = "Authorization";
-    constexpr std::string_view bearer = "bearer ";
     constexpr const char* keySegment = "{key}";
 
     bool equalsIgnoringCase(const std::string& left, const std::string& right)
@@ -40,19 +42,33 @@
         return pattern.size() == path.size() ? std::optional(key) : std::nullopt;
     }
 
-    // The key that the caller presented; nothing when the header is missing or of another scheme.
-    std::optional<std::string> presentedKey(const CallerRequest& request)
+    std::string prefixIndex(std::string_view host, std::string_view prefix)
     {
-        const std::string* value = request.header(authorizationHeader);
-        if (!value || value->size() <= bearer.size())
-            return std::nullopt;
-        if (!equalsIgnoringCase(value->substr(0, bearer.size()), std::string(bearer)))
-            return std::nullopt;
-        return value->substr(bearer.size());
+        return absl::StrCat(absl::AsciiStrToLower(absl::string_view(host.data(), host.size())),
+            absl::string_view(prefix.data(), prefix.size()));
     }
 
 }
 
+std::optional<int> keyNumber(const std::string& text)
+{
+    int number = 0;
+    if (!absl::SimpleAtoi(text, &number) || number < 0 || number > lastKeyNumber)
+        return std::nullopt;
+    return number;
+}
+
+// The key that the caller presented; nothing when the header is missing or of another scheme.
+std::optional<std::string> Router::presentedKey(const CallerRequest& request) const
+{
+    const std::string* value = request.header(authorizationHeader);
+    if (!value || value->size() <= credentialScheme_.size() + 1)
+        return std::nullopt;
+    const bool isOfScheme = equalsIgnoringCase(value->substr(0, credentialScheme_.size()), credentialScheme_)
+        && (*value)[credentialScheme_.size()] == ' ';
+    return isOfScheme ? std::optional(value->substr(credentialScheme_.size() + 1)) : std::nullopt;
+}
+
 const std::string* CallerRequest::header(const std::string& name) const
 {
     for (const peer::HeaderField& field : headers) {
@@ -62,9 +78,16 @@
     return nullptr;
 }
 
-Router::Router(std::shared_ptr<const Configuration> configuration)
+Router::Router(std::shared_ptr<const Configuration> configuration, std::string credentialScheme,
+    std::function<uint64_t()> random)
     : configuration_(std::move(configuration))
+    , credentialScheme_(std::move(credentialScheme))
+    , random_(std::move(random))
 {
+    for (const RouteConfig& route : configuration_->routes) {
+        if (!route.pathPrefix.empty())
+            byPrefix_.emplace(prefixIndex(route.host, route.pathPrefix), &route);
+    }
     for (const auto& [name, key] : configuration_->keys)
         keysByDigest_[key.sha256] = &key;
 }
@@ -78,15 +101,27 @@
     RoutedRequest routed;
     if (auto refusal = authenticate(request, route, routed.team))
         return *std::move(refusal);
-    const auto service = configuration_->services.find(route.service);
+    routed.service = serviceFor(route);
+    const auto service = configuration_->services.find(routed.service);
     if (service == configuration_->services.end())
         return notRun(RefusalReason::NoRoute, "the route's service is not declared");
-    routed.service = route.service;
     routed.routeName = route.name;
     routed.isIdempotent = route.isIdempotent;
+    routed.timeout = route.timeout;
+    routed.objective = route.objective;
+    routed.priority = priorityOf(route, routed.team);
+    routed.mostAttempts = route.mostAttempts;
     if (!service->second.isKeyed())
         return routed;
-    routed.key = matched->key;
+    if (auto refusal = findKey(request, route, service->second, *matched, routed))
+        return *std::move(refusal);
+    return routed;
+}
+
+std::optional<Reply> Router::findKey(const CallerRequest& request, const RouteConfig& route,
+    const ServiceConfig& service, Match match, RoutedRequest& routed) const
+{
+    routed.key = std::move(match.key);
     if (!route.keyHeader.empty()) {
         const std::string* value = request.header(route.keyHeader);
         routed.key = value ? *value : std::string();
@@ -94,8 +129,57 @@
     if (routed.key.empty())
         return notRun(RefusalReason::BadRequest,
             fmt::format("the request lacks the key that route '{}' needs", route.name));
-    routed.partition = FleetView::partitionOf(routed.key, service->second.partitions);
-    return routed;
+    if (!service.isRangeKeyed) {
+        routed.partition = FleetView::partitionOf(routed.key, service.partitions);
+        return std::nullopt;
+    }
+    const auto number = keyNumber(routed.key);
+    if (!number)
+        return notRun(
+            RefusalReason::BadRequest, fmt::format("the key must be a number from 0 to {}", lastKeyNumber));
+    routed.partition = *number;
+    return std::nullopt;
+}
+
+// The service that takes the request; targets share them by their weights.
+std::string Router::serviceFor(const RouteConfig& route) const
+{
+    if (route.targets.empty())
+        return route.service;
+    uint64_t sum = 0;
+    for (const RouteTarget& target : route.targets)
+        sum += static_cast<uint64_t>(target.weight);
+    uint64_t left = sum > 0 && random_ ? random_() % sum : 0;
+    for (const RouteTarget& target : route.targets) {
+        if (left < static_cast<uint64_t>(target.weight))
+            return target.service;
+        left -= static_cast<uint64_t>(target.weight);
+    }
+    return route.targets.front().service;
+}
+
+int Router::priorityOf(const RouteConfig& route, const std::string& team) const
+{
+    const auto found = configuration_->teams.find(team);
+    const bool hasOwn = found != configuration_->teams.end() && found->second.priority >= 0;
+    return hasOwn ? found->second.priority : route.priority;
+}
+
+// The route of the request's host with the longest prefix that begins the path.
+const RouteConfig* Router::matchPrefix(const CallerRequest& request, const std::string& path) const
+{
+    if (byPrefix_.empty())
+        return nullptr;
+    const std::string* header = request.header("Host");
+    const std::string host = header ? header->substr(0, header->find(':')) : std::string();
+    for (size_t end = path.rfind('/'); end != std::string::npos; end = path.rfind('/', end - 1)) {
+        const auto found = byPrefix_.find(prefixIndex(host, std::string_view(path).substr(0, end + 1)));
+        if (found != byPrefix_.end())
+            return found->second;
+        if (end == 0)
+            break;
+    }
+    return nullptr;
 }
 
 std::optional<Router::Match> Router::match(const CallerRequest& request) const
@@ -103,8 +187,12 @@
     const std::string path = request.target.substr(0, request.target.find('?'));
     if (path.empty() || path.front() != '/')
         return std::nullopt;
+    if (const RouteConfig* route = matchPrefix(request, path))
+        return Match { route, {} };
     const std::vector<std::string> segments = absl::StrSplit(path.substr(1), '/');
     for (const RouteConfig& route : configuration_->routes) {
+        if (!route.pathPrefix.empty())
+            continue;
         const auto& methods = route.methods;
         const bool allowsMethod
             = methods.empty() || std::find(methods.begin(), methods.end(), request.method) != methods.end();
--- /dev/null
+++ b/src/sidecar/configurationkeeper.cpp
@@ -0,0 +1,53 @@
+#include "sidecar/configurationkeeper.h"
+
+#include "base/logger.h"
+
+#include <utility>
+
+namespace persimmonfield {
+
+ConfigurationKeeper::ConfigurationKeeper(const Edges& edges)
+    : edges_(edges)
+{
+}
+
+bool ConfigurationKeeper::takeConfiguration(const StorePage& page)
+{
+    bool hasChanged = false;
+    for (const StoreObject& object : page.objects) {
+        if (object.name != edges_.configurationName || object.isDeleted)
+            continue;
+        auto read = edges_.readConfiguration(object.value);
+        if (!read.ok()) {
+            log(LogLevel::Error, "configuration-unreadable",
+                { { "revision", object.revision }, { "cause", std::string(read.status().message()) } });
+            continue;
+        }
+        if (current_ && read->version <= current_->version)
+            continue;
+        log(LogLevel::Info, "configuration-in-force",
+            { { "version", read->version }, { "revision", object.revision },
+                { "before", current_ ? current_->version : 0 } });
+        current_ = *std::move(read);
+        hasChanged = true;
+    }
+    return hasChanged;
+}
+
+bool ConfigurationKeeper::takeZones(const StorePage& page, bool isWhole)
+{
+    std::set<std::string> zones = isWhole ? std::set<std::string>() : zonesOut_;
+    for (const StoreObject& object : page.objects) {
+        if (object.isDeleted)
+            zones.erase(object.name);
+        else
+            zones.insert(object.name);
+    }
+    if (zones == zonesOut_)
+        return false;
+    zonesOut_ = std::move(zones);
+    log(LogLevel::Info, "zones-out", { { "zones", zonesOut_ }, { "revision", page.revision } });
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/sidecar/fleetdirectory.cpp
@@ -0,0 +1,115 @@
+#include "sidecar/fleetdirectory.h"
+
+#include "base/logger.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/string_view.h>
+
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr const char* instancePrefix = "instance.";
+    constexpr const char* keyTablePrefix = "keys.";
+
+    // Takes the object into the map where it is newer; false when it cannot be read.
+    template <typename Value>
+    bool take(std::map<std::string, FleetDirectory::Versioned<Value>>& known, const std::string& name,
+        const StoreObject& object)
+    {
+        const auto found = known.find(name);
+        if (found != known.end() && found->second.revision >= object.revision)
+            return true;
+        if (object.isDeleted) {
+            known.erase(name);
+            return true;
+        }
+        try {
+            known[name] = { object.value.get<Value>(), object.revision };
+            return true;
+        } catch (const std::exception& error) {
+            log(LogLevel::Warning, "object-unreadable",
+                { { "kind", object.kind }, { "name", object.name }, { "cause", error.what() } });
+            known.erase(name);
+            return false;
+        }
+    }
+
+}
+
+std::string instanceObjectName(const std::string& instance)
+{
+    return instancePrefix + instance;
+}
+
+std::string keyTableObjectName(const std::string& service)
+{
+    return keyTablePrefix + service;
+}
+
+void FleetDirectory::apply(const StorePage& page, bool isWhole)
+{
+    if (isWhole) {
+        // Own writes may be newer than the listing.
+        const auto isGone = [&page](const std::string& object, int64_t revision) {
+            for (const StoreObject& each : page.objects) {
+                if (each.name == object)
+                    return false;
+            }
+            return revision <= page.revision;
+        };
+        for (auto entry = instances_.begin(); entry != instances_.end();)
+            entry = isGone(instanceObjectName(entry->first), entry->second.revision) ? instances_.erase(entry)
+                                                                                     : std::next(entry);
+        for (auto table = tables_.begin(); table != tables_.end();)
+            table = isGone(keyTableObjectName(table->first), table->second.revision) ? tables_.erase(table)
+                                                                                     : std::next(table);
+        isLoaded_ = true;
+    }
+    for (const StoreObject& object : page.objects)
+        applyObject(object);
+}
+
+void FleetDirectory::applyObject(const StoreObject& object)
+{
+    const std::string instances = instancePrefix;
+    const std::string tables = keyTablePrefix;
+    if (absl::StartsWith(object.name, instances))
+        take(instances_, object.name.substr(instances.size()), object);
+    else if (absl::StartsWith(object.name, tables))
+        take(tables_, object.name.substr(tables.size()), object);
+}
+
+const stored::InstanceEntry* FleetDirectory::instance(const std::string& name) const
+{
+    const auto found = instances_.find(name);
+    return found == instances_.end() ? nullptr : &found->second.value;
+}
+
+const FleetDirectory::Versioned<stored::KeyTable>* FleetDirectory::keyTable(const std::string& service) const
+{
+    const auto found = tables_.find(service);
+    return found == tables_.end() ? nullptr : &found->second;
+}
+
+std::vector<KeyMember> FleetDirectory::keyMembers(
+    const std::string& service, const std::set<std::string>& zonesOut) const
+{
+    std::vector<KeyMember> members;
+    for (const auto& [name, entry] : instances_) {
+        const stored::InstanceEntry& instance = entry.value;
+        if (instance.service != service || !instance.server)
+            continue;
+        KeyMember member;
+        member.instance = name;
+        member.server = { instance.server->id, instance.server->startedMs };
+        member.slots = static_cast<int>(instance.server->slots);
+        member.takesKeys = instance.server->readiness == stored::Readiness::Ready && !instance.departing
+            && zonesOut.count(instance.zone) == 0;
+        members.push_back(std::move(member));
+    }
+    return members;
+}
+
+}
--- /dev/null
+++ b/src/sidecar/fleetdirectory.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "messages/generated/stored.h"
+#include "ownership/keytable.h"
+#include "store/storedialect.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonfield {
+
+// The kinds of objects by which instances find one another.
+inline constexpr const char* fleetKind = "persimmonfield-fleet";
+inline constexpr const char* leaseKind = "persimmonfield-leases";
+
+std::string instanceObjectName(const std::string& instance);
+std::string keyTableObjectName(const std::string& service);
+
+// This instance's copy of what the fleet keeps in the store: the instances with their servers, and the key
+// tables. Pure.
+class FleetDirectory {
+public:
+    template <typename Value> struct Versioned {
+        Value value;
+        int64_t revision = 0;
+    };
+    using Instances = std::map<std::string, Versioned<stored::InstanceEntry>>;
+
+    // Takes objects of the fleet's kind; a whole listing replaces everything. Objects that cannot be read
+    // name nobody and are logged. Older copies than the known ones are passed over.
+    void apply(const StorePage& page, bool isWhole);
+
+    const Instances& instances() const { return instances_; }
+    const stored::InstanceEntry* instance(const std::string& name) const;
+    const Versioned<stored::KeyTable>* keyTable(const std::string& service) const;
+
+    // The members of a service that is divided by key.
+    std::vector<KeyMember> keyMembers(
+        const std::string& service, const std::set<std::string>& zonesOut) const;
+
+    bool isLoaded() const { return isLoaded_; }
+
+private:
+    void applyObject(const StoreObject& object);
+
+    Instances instances_;
+    std::map<std::string, Versioned<stored::KeyTable>> tables_; // By service.
+    bool isLoaded_ = false;
+};
+
+}
--- /dev/null
+++ b/src/sidecar/ingress.cpp
@@ -0,0 +1,382 @@
+#include "sidecar/ingress.h"
+
+#include "base/logger.h"
+#include "base/random.h"
+#include "sidecar/teamrates.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    // A caller that does not say how long it waits.
+    constexpr Milliseconds defaultPatience { 10'000 };
+    constexpr Milliseconds longestPatience { 300'000 };
+    // Requests whose key has no owner wait for so large a part of their objective, others for less.
+    constexpr int keyedHoldPart = 2;
+    constexpr int holdPart = 8;
+    constexpr Milliseconds retryPause { 30 };
+    // When to come back after a refusal that does not say it better.
+    constexpr Milliseconds usualRetryAfter { 200 };
+    // Gates that may turn one request away before it is refused.
+    constexpr int mostGates = 4;
+    // The part of the fleet's reserve of retries that all instances together may use.
+    constexpr double reservePart = 0.6;
+
+    Milliseconds toMilliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<Milliseconds>(duration);
+    }
+
+    // Whether the request reached the server, which counts as a try of it.
+    bool hasArrived(const Reply& reply)
+    {
+        return !reply.isNotRun() || reply.reason == RefusalReason::ServerShedding
+            || reply.reason == RefusalReason::ServerStaleFence;
+    }
+
+}
+
+// One request of a caller on its way.
+struct Ingress::Passage {
+    explicit Passage(asio::io_context& loop)
+        : deadlineTimer(loop)
+        , retryTimer(loop)
+    {
+    }
+
+    std::shared_ptr<HttpExchange> exchange;
+    std::string id;
+    RoutedRequest routed;
+    peer::ForwardedRequest request;
+    TimePoint arrived;
+    TimePoint deadline;
+    TimePoint objectiveEnd;
+    TimePoint holdEnd;
+    int arrivals = 0; // At servers.
+    int gates = 0; // That turned it away.
+    bool mayHaveRun = false;
+    bool isWaiting = false; // For an owner or a server.
+    int64_t sends = 0;
+    int64_t lastReplied = 0; // The number of the last send that was replied to.
+    bool isOver = false;
+    std::vector<InstanceId> tried;
+    std::function<void()> cancelCall; // Null while nothing is under way.
+    Reply last;
+    asio::steady_timer deadlineTimer;
+    asio::steady_timer retryTimer;
+    std::list<PassagePtr>::iterator place;
+};
+
+Ingress::Ingress(IngressOptions options)
+    : options_(std::move(options))
+{
+}
+
+Ingress::~Ingress() = default;
+
+void Ingress::setConfiguration(const std::shared_ptr<const Configuration>& configuration)
+{
+    router_ = std::make_shared<Router>(configuration, options_.edges->credentialScheme, randomSource());
+}
+
+void Ingress::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    options_.counters->counter("requests_total")++;
+    auto passage = std::make_shared<Passage>(*options_.loop);
+    passage->exchange = exchange;
+    passage->arrived = exchange->arrived();
+    open_.push_back(passage);
+    passage->place = std::prev(open_.end());
+    exchange->setLeaveHandler([this, weak = std::weak_ptr<Passage>(passage)] {
+        if (const auto left = weak.lock())
+            callerLeft(left);
+    });
+    if (auto refusal = admit(*passage))
+        return finish(passage, *std::move(refusal));
+    passage->deadlineTimer.expires_after(passage->deadline - BootClock::now());
+    passage->deadlineTimer.async_wait([this, weak = std::weak_ptr<Passage>(passage)](std::error_code error) {
+        const auto late = weak.lock();
+        if (!error && late)
+            timedOut(late);
+    });
+    budgetOf(passage->routed.service).noteRequest();
+    attempt(passage);
+}
+
+// Checks the request and fills in where it goes; a refusal is always a certain not-run.
+std::optional<Reply> Ingress::admit(Passage& passage)
+{
+    const HttpRequest& received = passage.exchange->request();
+    auto head = options_.edges->readCaller(received);
+    if (!head.ok())
+        return notRun(RefusalReason::BadRequest, std::string(head.status().message()));
+    passage.id = head->requestId;
+    if (!router_)
+        return notRun(RefusalReason::NoConfiguration, "no configuration is in force yet");
+    RoutingResult result = router_->route({ received.method, received.target, received.headers });
+    if (auto* refusal = std::get_if<Reply>(&result))
+        return std::move(*refusal);
+    passage.routed = std::move(std::get<RoutedRequest>(result));
+    const RoutedRequest& routed = passage.routed;
+    Milliseconds patience = std::min(head->patience.value_or(defaultPatience), longestPatience);
+    if (routed.timeout > Milliseconds(0))
+        patience = std::min(patience, routed.timeout);
+    const Milliseconds objective
+        = routed.objective > Milliseconds(0) ? std::min(routed.objective, patience) : patience;
+    passage.deadline = passage.arrived + patience;
+    passage.objectiveEnd = passage.arrived + objective;
+    passage.holdEnd = passage.arrived + objective / (routed.partition >= 0 ? keyedHoldPart : holdPart);
+    if (auto refusal = options_.rates->charge(routed.team, BootClock::now()))
+        return refusal;
+    peer::ForwardedRequest& request = passage.request;
+    request.requestId = passage.id;
+    request.service = routed.service;
+    request.route = routed.routeName;
+    request.partition = routed.partition;
+    request.fence = 0;
+    request.key = routed.key;
+    request.team = routed.team;
+    request.method = received.method;
+    request.target = received.target;
+    request.headers = withoutCallerKey(received.headers);
+    request.idempotent = routed.isIdempotent;
+    request.priority = routed.priority;
+    request.callerService = options_.settings.service;
+    return std::nullopt;
+}
+
+void Ingress::attempt(const PassagePtr& passage)
+{
+    passage->isWaiting = false;
+    const auto target = chooseTarget(*passage);
+    if (target)
+        return send(passage, *target);
+    Reply nobody = passage->gates + passage->arrivals > 0
+        ? passage->last
+        : notRun(RefusalReason::NoOwner, "nobody serves the request at present");
+    waitOrRefuse(passage, std::move(nobody));
+}
+
+std::optional<Ingress::Target> Ingress::chooseTarget(const Passage& passage)
+{
+    if (passage.routed.partition >= 0)
+        return ownerOf(passage);
+    const std::vector<Target> targets = serversOf(passage.routed.service);
+    std::vector<InstanceId> servers;
+    servers.reserve(targets.size());
+    for (const Target& target : targets)
+        servers.push_back(target.server);
+    const auto chosen = choiceOf(passage.routed.service).choose(servers, passage.tried, BootClock::now());
+    if (!chosen)
+        return std::nullopt;
+    return *std::find_if(
+        targets.begin(), targets.end(), [&chosen](const Target& target) { return target.server == *chosen; });
+}
+
+std::optional<Ingress::Target> Ingress::ownerOf(const Passage& passage) const
+{
+    const auto* table = options_.directory->keyTable(passage.routed.service);
+    const stored::KeyRange* range
+        = table ? findRange(table->value, static_cast<int>(passage.routed.partition)) : nullptr;
+    if (!range || !isOwned(*range))
+        return std::nullopt;
+    if (range->instance == options_.settings.name)
+        return Target { { range->instance, range->server }, {} };
+    const stored::InstanceEntry* owner = options_.directory->instance(range->instance);
+    if (!owner)
+        return std::nullopt;
+    return Target { { range->instance, range->server }, owner->peerAddress };
+}
+
+std::vector<Ingress::Target> Ingress::serversOf(const std::string& service) const
+{
+    std::vector<Target> targets;
+    for (const auto& [name, entry] : options_.directory->instances()) {
+        const stored::InstanceEntry& instance = entry.value;
+        const bool takesWork = instance.service == service && instance.server && !instance.departing
+            && instance.server->readiness == stored::Readiness::Ready && zonesOut_.count(instance.zone) == 0;
+        if (!takesWork)
+            continue;
+        const bool isLocal = name == options_.settings.name;
+        targets.push_back({ { name, instance.server->id }, isLocal ? std::string() : instance.peerAddress });
+    }
+    return targets;
+}
+
+void Ingress::send(const PassagePtr& passage, const Target& target)
+{
+    const TimePoint now = BootClock::now();
+    peer::ForwardedRequest request = passage->request;
+    request.timeoutMs = std::max<int64_t>(1, toMilliseconds(passage->deadline - now).count());
+    request.objectiveMs = std::max<int64_t>(0, toMilliseconds(passage->objectiveEnd - now).count());
+    const bool isKeyed = passage->routed.partition >= 0;
+    if (!isKeyed)
+        choiceOf(passage->routed.service).began(target.server);
+    const auto done = [this, weak = std::weak_ptr<Passage>(passage), target, now](Reply reply) {
+        const auto replyTo = weak.lock();
+        if (replyTo && !replyTo->isOver)
+            replied(replyTo, target, now, std::move(reply));
+    };
+    // The reply may come before the call returns; then there is nothing to cancel.
+    const auto sequence = ++passage->sends;
+    std::function<void()> cancel;
+    if (target.peerAddress.empty()) {
+        GateCall call { std::move(request), passage->exchange->request().body, passage->deadline,
+            passage->objectiveEnd, done };
+        cancel = [this, id = options_.gate->submit(std::move(call))] { options_.gate->cancel(id); };
+    } else {
+        const auto id = options_.peers->send(
+            target.peerAddress, std::move(request), passage->exchange->request().body, done);
+        cancel = [this, id] { options_.peers->cancel(id); };
+    }
+    const bool isUnderWay = !passage->isOver && passage->sends == sequence && !passage->isWaiting;
+    if (isUnderWay && passage->lastReplied < sequence)
+        passage->cancelCall = std::move(cancel);
+}
+
+void Ingress::replied(const PassagePtr& passage, const Target& target, TimePoint sentAt, Reply reply)
+{
+    passage->cancelCall = nullptr;
+    passage->lastReplied = passage->sends;
+    noteReply(*passage, target, BootClock::now() - sentAt, reply);
+    if (reply.isAnswer)
+        return finish(passage, std::move(reply));
+    if (hasArrived(reply))
+        ++passage->arrivals;
+    else
+        ++passage->gates;
+    passage->mayHaveRun = passage->mayHaveRun || !reply.isNotRun();
+    passage->tried.push_back(target.server);
+    passage->last = std::move(reply);
+    if (!mayTryAgain(*passage, passage->last))
+        return finish(passage, passage->last);
+    if (passage->routed.partition >= 0)
+        return waitOrRefuse(passage, passage->last);
+    attempt(passage);
+}
+
+void Ingress::noteReply(const Passage& passage, const Target& target, Duration latency, const Reply& reply)
+{
+    if (passage.routed.partition >= 0)
+        return;
+    ServerChoice& choice = choiceOf(passage.routed.service);
+    const TimePoint now = BootClock::now();
+    if (reply.isAnswer)
+        choice.succeeded(target.server, latency, now);
+    else if (reply.isNotRun() && reply.reason == RefusalReason::QueueFull)
+        choice.abandoned(target.server, Duration::zero(), now);
+    else
+        choice.failed(target.server, now);
+}
+
+bool Ingress::mayTryAgain(const Passage& passage, const Reply& reply)
+{
+    if (BootClock::now() >= passage.deadline || passage.gates >= mostGates)
+        return false;
+    // What may have run is sent again only where that does no harm.
+    if (!reply.isNotRun() && !passage.routed.isIdempotent)
+        return false;
+    if (!hasArrived(reply))
+        return reply.reason != RefusalReason::QueueFull || passage.routed.partition < 0;
+    return passage.arrivals < passage.routed.mostAttempts && budgetOf(passage.routed.service).tryTake();
+}
+
+void Ingress::waitOrRefuse(const PassagePtr& passage, Reply reply)
+{
+    const TimePoint now = BootClock::now();
+    if (now + retryPause >= passage->holdEnd)
+        return finish(passage, std::move(reply));
+    passage->isWaiting = true;
+    passage->last = std::move(reply);
+    passage->retryTimer.expires_after(retryPause);
+    passage->retryTimer.async_wait([this, weak = std::weak_ptr<Passage>(passage)](std::error_code error) {
+        const auto waiting = weak.lock();
+        if (!error && waiting && !waiting->isOver && waiting->isWaiting)
+            attempt(waiting);
+    });
+}
+
+void Ingress::onDirectoryChange()
+{
+    const std::vector<PassagePtr> open(open_.begin(), open_.end());
+    for (const PassagePtr& passage : open) {
+        if (passage->isOver || !passage->isWaiting)
+            continue;
+        passage->retryTimer.cancel();
+        attempt(passage);
+    }
+}
+
+void Ingress::timedOut(const PassagePtr& passage)
+{
+    if (passage->isOver)
+        return;
+    const bool isUnderWay = passage->cancelCall != nullptr;
+    cancelCall(*passage);
+    passage->mayHaveRun = passage->mayHaveRun || isUnderWay;
+    finish(passage, notRun(RefusalReason::DeadlinePassed, "no answer came before the deadline"));
+}
+
+void Ingress::callerLeft(const PassagePtr& passage)
+{
+    if (passage->isOver)
+        return;
+    cancelCall(*passage);
+    passage->isOver = true;
+    passage->deadlineTimer.cancel();
+    passage->retryTimer.cancel();
+    open_.erase(passage->place);
+    log(LogLevel::Info, "caller-left",
+        { { "request", passage->id }, { "route", passage->routed.routeName },
+            { "afterMs", toMilliseconds(BootClock::now() - passage->arrived).count() } });
+}
+
+void Ingress::cancelCall(Passage& passage)
+{
+    if (const auto cancel = std::exchange(passage.cancelCall, nullptr))
+        cancel();
+}
+
+void Ingress::finish(const PassagePtr& passage, Reply reply)
+{
+    if (std::exchange(passage->isOver, true))
+        return;
+    passage->deadlineTimer.cancel();
+    passage->retryTimer.cancel();
+    open_.erase(passage->place);
+    if (passage->mayHaveRun && reply.isNotRun())
+        reply.outcome = peer::Outcome::Unknown;
+    if (!reply.isAnswer) {
+        if (reply.retryAfter <= Milliseconds(0))
+            reply.retryAfter = usualRetryAfter;
+        options_.counters->counter("refusals_total", "reason", refusalToken(reply.reason))++;
+    }
+    log(LogLevel::Info, "request",
+        { { "request", passage->id }, { "route", passage->routed.routeName },
+            { "team", passage->routed.team }, { "key", passage->routed.partition },
+            { "servers", passage->arrivals }, { "gates", passage->gates }, { "status", reply.status },
+            { "outcome", reply.isAnswer ? "answered" : std::string(refusalToken(reply.reason)) },
+            { "isNotRun", reply.isNotRun() }, { "cause", reply.detail },
+            { "tookMs", toMilliseconds(BootClock::now() - passage->arrived).count() } });
+    passage->exchange->respond(options_.edges->writeReply(reply, passage->id));
+}
+
+ServerChoice& Ingress::choiceOf(const std::string& service)
+{
+    return choices_.try_emplace(service, randomSource()).first->second;
+}
+
+// The budget is shared by all instances: each has its part of the reserve.
+RetryBudget& Ingress::budgetOf(const std::string& service)
+{
+    const auto instances = std::max<size_t>(1, options_.directory->instances().size());
+    const double reserve
+        = std::max(1.0, options_.settings.retryReserve * reservePart / static_cast<double>(instances));
+    return budgets_.try_emplace(service, RetryBudget(options_.settings.retryShare, reserve)).first->second;
+}
+
+}
--- /dev/null
+++ b/src/sidecar/ingress.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "base/counters.h"
+#include "http/httpserver.h"
+#include "routing/retrybudget.h"
+#include "routing/router.h"
+#include "routing/serverchoice.h"
+#include "sidecar/edges.h"
+#include "sidecar/fleetdirectory.h"
+#include "sidecar/peercalls.h"
+#include "sidecar/servergate.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace persimmonfield {
+
+class TeamRates;
+
+struct IngressOptions {
+    asio::io_context* loop = nullptr;
+    const Edges* edges = nullptr;
+    SidecarSettings settings;
+    Counters* counters = nullptr;
+    const FleetDirectory* directory = nullptr;
+    ServerGate* gate = nullptr;
+    PeerCalls* peers = nullptr;
+    TeamRates* rates = nullptr;
+};
+
+// Where requests of callers come in: finds their service and server, sends them there, tries again what
+// certainly may run again, and gives each caller one answer. Runs on the loop's thread.
+class Ingress {
+public:
+    explicit Ingress(IngressOptions options);
+    ~Ingress();
+
+    // Routes by this configuration from now on.
+    void setConfiguration(const std::shared_ptr<const Configuration>& configuration);
+    bool hasConfiguration() const { return router_ != nullptr; }
+
+    void setZonesOut(std::set<std::string> zones) { zonesOut_ = std::move(zones); }
+
+    void handle(const std::shared_ptr<HttpExchange>& exchange);
+
+    // Owners or servers have changed: what waits for one is tried again.
+    void onDirectoryChange();
+
+    bool isIdle() const { return open_.empty(); }
+
+private:
+    struct Passage;
+    using PassagePtr = std::shared_ptr<Passage>;
+
+    struct Target {
+        InstanceId server; // The instance's name, and the server's id as its incarnation.
+        std::string peerAddress; // Empty for the server beside this instance.
+    };
+
+    std::optional<Reply> admit(Passage& passage);
+    void attempt(const PassagePtr& passage);
+    std::optional<Target> chooseTarget(const Passage& passage);
+    std::optional<Target> ownerOf(const Passage& passage) const;
+    std::vector<Target> serversOf(const std::string& service) const;
+    void send(const PassagePtr& passage, const Target& target);
+    void replied(const PassagePtr& passage, const Target& target, TimePoint sentAt, Reply reply);
+    void noteReply(const Passage& passage, const Target& target, Duration latency, const Reply& reply);
+    bool mayTryAgain(const Passage& passage, const Reply& reply);
+    void waitOrRefuse(const PassagePtr& passage, Reply reply);
+    void timedOut(const PassagePtr& passage);
+    void callerLeft(const PassagePtr& passage);
+    void finish(const PassagePtr& passage, Reply reply);
+    void cancelCall(Passage& passage);
+    ServerChoice& choiceOf(const std::string& service);
+    RetryBudget& budgetOf(const std::string& service);
+
+    IngressOptions options_;
+    std::shared_ptr<const Router> router_;
+    std::set<std::string> zonesOut_;
+    std::map<std::string, ServerChoice> choices_; // By service.
+    std::map<std::string, RetryBudget> budgets_; // By service.
+    std::list<PassagePtr> open_;
+};
+
+}
--- /dev/null
+++ b/src/sidecar/keyduty.cpp
@@ -0,0 +1,342 @@
+#include "sidecar/keyduty.h"
+
+#include "base/logger.h"
+#include "sidecar/edges.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    // How often what depends on time alone is looked at.
+    constexpr Milliseconds stepInterval { 500 };
+    // Listings that may be stale cost the store little.
+    constexpr Milliseconds pollInterval { 1'500 };
+    // A first table waits until all who start together have reported.
+    constexpr Milliseconds settleTime { 1'500 };
+    constexpr Milliseconds tableRetryPause { 300 };
+    // Reports that a hold outlasts.
+    constexpr int reportsInHold = 3;
+
+    KeyHolderOptions holderOptions(const SidecarSettings& settings)
+    {
+        KeyHolderOptions options;
+        options.instance = settings.name;
+        options.holdTime = settings.reportInterval * reportsInHold;
+        return options;
+    }
+
+}
+
+KeyDuty::KeyDuty(KeyDutyOptions options)
+    : options_(std::move(options))
+    , timer_(*options_.loop)
+    , retryTimer_(*options_.loop)
+    , lease_(options_.settings.name, options_.incarnation, KeyLeaseTiming())
+    , leases_(KeyLeaseTiming())
+    , holder_(holderOptions(options_.settings))
+{
+    holder_.assumeEarlierGrants(BootClock::now());
+}
+
+void KeyDuty::start()
+{
+    step();
+}
+
+void KeyDuty::scheduleStep()
+{
+    timer_.expires_after(stepInterval);
+    timer_.async_wait([this](std::error_code error) {
+        if (!error)
+            step();
+    });
+}
+
+void KeyDuty::step()
+{
+    const TimePoint now = BootClock::now();
+    if (options_.serverLife()) {
+        renewLease(now);
+        pollLeases(now);
+        lapseLeases(now);
+    }
+    updateTable();
+    scheduleStep();
+}
+
+// While the lease has to be confirmed, nothing may be granted by it.
+TimePoint KeyDuty::grantableUntil() const
+{
+    return lease_.needsConfirmation() ? TimePoint() : lease_.end();
+}
+
+KeyAnswer KeyDuty::answer(const ServerReport& report)
+{
+    const TimePoint now = BootClock::now();
+    renewLease(now);
+    holder_.setLeaseEnd(grantableUntil());
+    KeyAnswer answer = holder_.report({ report.life, report.holds, report.released }, grantableTable(), now);
+    updateTable();
+    return answer;
+}
+
+// The table without what a write under way gives away.
+stored::KeyTable KeyDuty::grantableTable() const
+{
+    const auto* known = options_.directory->keyTable(options_.settings.service);
+    if (!known)
+        return {};
+    stored::KeyTable table = known->value;
+    if (!pendingTable_)
+        return table;
+    const auto isGivenAway = [this](const stored::KeyRange& range) {
+        const auto& after = pendingTable_->table.ranges;
+        return std::any_of(after.begin(), after.end(), [&range](const stored::KeyRange& each) {
+            const bool overlaps = each.first <= range.last && range.first <= each.last;
+            return overlaps && (each.instance != range.instance || lifeOf(each) != lifeOf(range));
+        });
+    };
+    auto& ranges = table.ranges;
+    ranges.erase(std::remove_if(ranges.begin(), ranges.end(), isGivenAway), ranges.end());
+    return table;
+}
+
+void KeyDuty::renewLease(TimePoint now)
+{
+    const auto renewal = lease_.dueRenewal(now);
+    if (!renewal)
+        return;
+    options_.store->write(
+        { leaseKind, options_.settings.name, nlohmann::json(renewal->lease), renewal->expectedRevision },
+        [this](const StoreWriteResult& result) { leaseWritten(result); });
+}
+
+void KeyDuty::leaseWritten(const StoreWriteResult& result)
+{
+    if (result.outcome == WriteOutcome::Applied && result.object) {
+        lease_.renewed(result.object->revision);
+        leases_.observe(
+            result.object->value.get<stored::KeyLease>(), result.object->revision, BootClock::now());
+        if (lease_.needsConfirmation())
+            confirmRanges();
+        return;
+    }
+    if (result.outcome != WriteOutcome::Conflict) {
+        log(LogLevel::Info, "lease-not-renewed", { { "cause", result.detail } });
+        return lease_.failed();
+    }
+    std::optional<stored::KeyLease> found;
+    if (result.object && result.object->value.is_object())
+        found = result.object->value.get<stored::KeyLease>();
+    const bool isLost = lease_.conflicted(found, result.object ? result.object->revision : 0);
+    if (isLost)
+        log(LogLevel::Info, "lease-taken-anew",
+            { { "found", result.object ? result.object->value : nlohmann::json() } });
+    renewLease(BootClock::now());
+}
+
+// After the lease was taken anew: another instance that found it lapsed may be about to give this one's
+// ranges away. The ranges are read again, and where the lease had lapsed, given up by a write that such a
+// change cannot survive.
+void KeyDuty::confirmRanges()
+{
+    if (std::exchange(isConfirming_, true))
+        return;
+    options_.store->list(fleetKind, false, [this](const absl::StatusOr<StorePage>& page) {
+        isConfirming_ = false;
+        if (!page.ok())
+            return lease_.failed();
+        options_.directory->apply(*page, true);
+        const auto* table = options_.directory->keyTable(options_.settings.service);
+        auto confirmed
+            = table && lease_.wasLapsed() ? confirmTable(table->value, options_.settings.name) : std::nullopt;
+        if (confirmed)
+            return writeTable(*confirmed, table->revision, true);
+        lease_.confirmed();
+        options_.onChange();
+        updateTable();
+    });
+}
+
+void KeyDuty::pollLeases(TimePoint now)
+{
+    if (now < nextPoll_)
+        return;
+    nextPoll_ = now + pollInterval;
+    listLeases(true);
+}
+
+void KeyDuty::listLeases(bool mayBeStale)
+{
+    if (std::exchange(isListing_, true))
+        return;
+    options_.store->list(leaseKind, mayBeStale, [this, mayBeStale](const absl::StatusOr<StorePage>& page) {
+        isListing_ = false;
+        if (!page.ok())
+            return;
+        const TimePoint now = BootClock::now();
+        for (const StoreObject& object : page->objects) {
+            try {
+                leases_.observe(object.value.get<stored::KeyLease>(), object.revision, now);
+            } catch (const std::exception& error) {
+                log(LogLevel::Warning, "object-unreadable",
+                    { { "kind", leaseKind }, { "name", object.name }, { "cause", error.what() } });
+            }
+        }
+        if (!mayBeStale)
+            leasesRevision_ = page->revision;
+        updateTable();
+    });
+}
+
+void KeyDuty::lapseLeases(TimePoint now)
+{
+    if (now >= grantableUntil())
+        return;
+    for (const KeyLeaseWatch::Expired& expired : leases_.expired(now)) {
+        const std::string instance = expired.lease.instance;
+        if (instance == options_.settings.name || !lapsing_.insert(instance).second)
+            continue;
+        log(LogLevel::Info, "lease-lapsed",
+            { { "of", instance }, { "sequence", expired.lease.sequence },
+                { "revision", expired.expectedRevision } });
+        options_.store->write(
+            { leaseKind, instance, nlohmann::json(expired.lease), expired.expectedRevision },
+            [this, instance](const StoreWriteResult& result) {
+                lapsing_.erase(instance);
+                if (!result.object)
+                    return;
+                leases_.observe(
+                    result.object->value.get<stored::KeyLease>(), result.object->revision, BootClock::now());
+                updateTable();
+            });
+    }
+}
+
+void KeyDuty::onDirectoryChange()
+{
+    updateTable();
+}
+
+// The first instance by name that lives and holds a lease plans for the service.
+bool KeyDuty::isPlanner(const std::vector<KeyMember>& members, TimePoint now) const
+{
+    if (now >= grantableUntil())
+        return false;
+    for (const KeyMember& member : members) {
+        if (member.instance == options_.settings.name)
+            return true;
+        if (leases_.isFresh(member.instance, now))
+            return false;
+    }
+    return false;
+}
+
+bool KeyDuty::mayMakeFirstTable(const std::vector<KeyMember>& members, TimePoint now)
+{
+    if (members.size() != lastMemberCount_) {
+        lastMemberCount_ = members.size();
+        membersStableSince_ = now;
+    }
+    return now - membersStableSince_ >= settleTime;
+}
+
+std::optional<stored::KeyTable> KeyDuty::settled(const stored::KeyTable& table, TimePoint now) const
+{
+    OwnServer own;
+    own.instance = options_.settings.name;
+    own.life = options_.serverLife();
+    own.hasEarlierGrantsEnded
+        = own.life ? holder_.haveEarlierGrantsEnded(*own.life, now) : holder_.haveAllGrantsEnded(now);
+    own.isReleased = [this, now](const stored::KeyRange& range) { return holder_.isReleased(range, now); };
+    own.handover = [this](const stored::KeyRange& range) { return holder_.handover(range); };
+    return settleTable(
+        table, own, options_.directory->keyMembers(options_.settings.service, options_.zonesOut()));
+}
+
+// The next table that this instance has to write; nothing when the present one may stay.
+std::optional<stored::KeyTable> KeyDuty::dueTable(TimePoint now)
+{
+    auto members = options_.directory->keyMembers(options_.settings.service, options_.zonesOut());
+    const auto* known = options_.directory->keyTable(options_.settings.service);
+    if (!known)
+        return isPlanner(members, now) && mayMakeFirstTable(members, now)
+            ? firstTable(options_.settings.service, members)
+            : std::nullopt;
+    if (now < grantableUntil()) {
+        if (auto table = settled(known->value, now))
+            return table;
+    }
+    if (!isPlanner(members, now))
+        return std::nullopt;
+    for (KeyMember& member : members)
+        member.takesKeys = member.takesKeys && leases_.isFresh(member.instance, now);
+    const auto isLapsed = [this](const std::string& instance) { return leases_.isLapsed(instance); };
+    const bool needsNewListing = std::any_of(known->value.ranges.begin(), known->value.ranges.end(),
+        [&](const stored::KeyRange& range) { return isOwned(range) && isLapsed(range.instance); });
+    // An instance may have taken its lease anew before the table was last written.
+    if (needsNewListing && leasesRevision_ < known->revision) {
+        listLeases(false);
+        return std::nullopt;
+    }
+    const auto weight
+        = [](const stored::KeyRange& range) { return static_cast<double>(range.last - range.first + 1); };
+    return planTable({ known->value, std::move(members), isLapsed, weight });
+}
+
+void KeyDuty::updateTable()
+{
+    if (pendingTable_ || !options_.directory->isLoaded())
+        return;
+    const auto* known = options_.directory->keyTable(options_.settings.service);
+    const int64_t revision = known ? known->revision : 0;
+    if (const auto table = dueTable(BootClock::now()))
+        writeTable(*table, revision, false);
+}
+
+void KeyDuty::writeTable(const stored::KeyTable& table, int64_t expectedRevision, bool isConfirmation)
+{
+    log(LogLevel::Info, "key-table-written",
+        { { "service", table.service }, { "ranges", table.ranges.size() }, { "builtOn", expectedRevision },
+            { "isConfirmation", isConfirmation } });
+    pendingTable_ = PendingTable { table, expectedRevision, isConfirmation };
+    sendTable();
+}
+
+void KeyDuty::sendTable()
+{
+    options_.store->write({ fleetKind, keyTableObjectName(pendingTable_->table.service),
+                              nlohmann::json(pendingTable_->table), pendingTable_->expectedRevision },
+        [this](const StoreWriteResult& result) { tableWritten(result); });
+}
+
+void KeyDuty::tableWritten(const StoreWriteResult& result)
+{
+    if (result.object)
+        options_.directory->apply({ { *result.object }, false, result.object->revision }, false);
+    if (result.outcome == WriteOutcome::Unknown || result.outcome == WriteOutcome::Refused) {
+        log(LogLevel::Info, "key-table-write-open", { { "cause", result.detail } });
+        retryTimer_.expires_after(tableRetryPause);
+        retryTimer_.async_wait([this](std::error_code error) {
+            if (!error)
+                sendTable();
+        });
+        return;
+    }
+    const bool isApplied = result.outcome == WriteOutcome::Applied;
+    const bool isConfirmation = pendingTable_->isConfirmation;
+    pendingTable_.reset();
+    if (isConfirmation && !isApplied)
+        return confirmRanges();
+    if (isConfirmation)
+        lease_.confirmed();
+    if (!isApplied)
+        log(LogLevel::Info, "key-table-refused", { { "cause", result.detail } });
+    options_.onChange();
+    if (isApplied)
+        updateTable();
+}
+
+}
--- /dev/null
+++ b/src/sidecar/keyduty.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "ownership/keyholder.h"
+#include "ownership/keylease.h"
+#include "sidecar/fleetdirectory.h"
+#include "sidecar/sidecarsettings.h"
+#include "store/storesession.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace persimmonfield {
+
+struct ServerReport;
+
+struct KeyDutyOptions {
+    asio::io_context* loop = nullptr;
+    SidecarSettings settings;
+    std::string incarnation;
+    StoreSession* store = nullptr;
+    FleetDirectory* directory = nullptr;
+    std::function<std::optional<ServerLife>()> serverLife;
+    std::function<const std::set<std::string>&()> zonesOut;
+    // The key table or the leases have changed by a write of this instance.
+    std::function<void()> onChange;
+};
+
+// Beside the server of a service that is divided by key: renews this instance's lease, tells the server what
+// it holds, settles this instance's ranges, and plans the table where this instance is the first of those
+// whose lease is fresh. Two planners at once do no harm: the table is written under a condition.
+class KeyDuty {
+public:
+    explicit KeyDuty(KeyDutyOptions options);
+
+    void start();
+
+    KeyAnswer answer(const ServerReport& report);
+    bool mayRun(int key, TimePoint now) const { return holder_.mayRun(key, now); }
+
+    // Members, zones or the table have changed.
+    void onDirectoryChange();
+
+private:
+    void step();
+    void scheduleStep();
+    void renewLease(TimePoint now);
+    void leaseWritten(const StoreWriteResult& result);
+    void pollLeases(TimePoint now);
+    void listLeases(bool mayBeStale);
+    void lapseLeases(TimePoint now);
+    void confirmRanges();
+    void updateTable();
+    std::optional<stored::KeyTable> dueTable(TimePoint now);
+    std::optional<stored::KeyTable> settled(const stored::KeyTable& table, TimePoint now) const;
+    bool isPlanner(const std::vector<KeyMember>& members, TimePoint now) const;
+    bool mayMakeFirstTable(const std::vector<KeyMember>& members, TimePoint now);
+    void writeTable(const stored::KeyTable& table, int64_t expectedRevision, bool isConfirmation);
+    void sendTable();
+    void tableWritten(const StoreWriteResult& result);
+    stored::KeyTable grantableTable() const;
+    TimePoint grantableUntil() const;
+
+    KeyDutyOptions options_;
+    asio::steady_timer timer_;
+    asio::steady_timer retryTimer_;
+    KeyLeaseHolder lease_;
+    KeyLeaseWatch leases_;
+    KeyHolder holder_;
+    std::set<std::string> lapsing_; // Instances whose lease is being marked.
+    int64_t leasesRevision_ = 0; // Of the last listing that was not stale.
+    bool isListing_ = false;
+    // A write of the table whose end is not known yet. It may still take effect, so it is repeated until it
+    // is, and what it gives away is not granted meanwhile.
+    struct PendingTable {
+        stored::KeyTable table;
+        int64_t expectedRevision = 0;
+        bool isConfirmation = false;
+    };
+    std::optional<PendingTable> pendingTable_;
+    bool isConfirming_ = false;
+    TimePoint nextPoll_;
+    size_t lastMemberCount_ = 0;
+    TimePoint membersStableSince_;
+};
+
+}
--- /dev/null
+++ b/src/sidecar/peergate.cpp
@@ -0,0 +1,81 @@
+#include "sidecar/peergate.h"
+
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+
+PeerGate::PeerGate(ServerGate& gate, PeerNetwork& network)
+    : gate_(gate)
+    , network_(network)
+{
+}
+
+void PeerGate::onRequest(LinkId link, peer::ForwardedRequest request, std::string body)
+{
+    const Key key { link, request.id };
+    const TimePoint now = BootClock::now();
+    GateCall call;
+    call.deadline = now + Milliseconds(request.timeoutMs);
+    call.objectiveEnd = now + Milliseconds(request.objectiveMs);
+    call.request = std::move(request);
+    call.body = std::move(body);
+    calls_[key] = 0;
+    call.reply = [this, key](Reply reply) {
+        calls_.erase(key);
+        send(key, std::move(reply));
+    };
+    const auto id = gate_.submit(std::move(call));
+    // The reply may have come already.
+    const auto open = calls_.find(key);
+    if (open != calls_.end())
+        open->second = id;
+}
+
+void PeerGate::send(const Key& key, Reply reply)
+{
+    peer::PeerMessage message;
+    if (!reply.isAnswer) {
+        peer::Refusal refusal {};
+        refusal.id = key.second;
+        refusal.outcome = reply.outcome;
+        refusal.reason = std::string(refusalToken(reply.reason));
+        refusal.detail = std::move(reply.detail);
+        refusal.retryAfterMs = reply.retryAfter.count();
+        refusal.load = reply.load;
+        message.refusal = std::move(refusal);
+        network_.send(key.first, { message, {} });
+        return;
+    }
+    peer::ForwardedAnswer answer {};
+    answer.id = key.second;
+    answer.status = reply.status;
+    answer.headers = std::move(reply.headers);
+    answer.bodyLength = static_cast<int64_t>(reply.body.size());
+    answer.load = reply.load;
+    message.forwardedAnswer = std::move(answer);
+    network_.send(key.first, { message, std::move(reply.body) });
+}
+
+void PeerGate::onCancel(LinkId link, const peer::Cancel& cancel)
+{
+    const auto found = calls_.find({ link, cancel.id });
+    if (found == calls_.end())
+        return;
+    const auto id = found->second;
+    calls_.erase(found);
+    gate_.cancel(id);
+}
+
+void PeerGate::onClosed(LinkId link)
+{
+    std::vector<ServerGate::CallId> open;
+    for (auto entry = calls_.lower_bound({ link, 0 }); entry != calls_.end() && entry->first.first == link;) {
+        open.push_back(entry->second);
+        entry = calls_.erase(entry);
+    }
+    for (const auto id : open)
+        gate_.cancel(id);
+}
+
+}
--- /dev/null
+++ b/src/sidecar/serverduty.cpp
@@ -0,0 +1,151 @@
+#include "sidecar/serverduty.h"
+
+#include "base/logger.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    // A server that has not reported for so many intervals is taken for gone.
+    constexpr int silentIntervals = 3;
+
+}
+
+ServerDuty::ServerDuty(ServerDutyOptions options)
+    : options_(std::move(options))
+    , silenceTimer_(*options_.loop)
+{
+}
+
+void ServerDuty::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto message = options_.edges->readReport(exchange->request());
+    ServerReportAnswer answer;
+    if (!message.ok()) {
+        answer.isAccepted = false;
+        answer.cause = std::string(message.status().message());
+        log(LogLevel::Warning, "report-unreadable", { { "cause", answer.cause } });
+    } else if (const auto* report = std::get_if<ServerReport>(&*message)) {
+        answer = take(*report);
+    } else {
+        takeLeave(std::get<ServerLeave>(*message));
+    }
+    exchange->respond(options_.edges->writeReportAnswer(answer));
+}
+
+bool ServerDuty::isStale(const ServerReport& report) const
+{
+    if (!server_)
+        return false;
+    const ServerReport& known = server_->report;
+    if (report.life.startedMs != known.life.startedMs)
+        return report.life.startedMs < known.life.startedMs;
+    if (report.life.id != known.life.id)
+        return false;
+    return report.sequence <= known.sequence || server_->hasLeft;
+}
+
+ServerReportAnswer ServerDuty::take(const ServerReport& report)
+{
+    ServerReportAnswer answer;
+    if (report.service != options_.settings.service) {
+        log(LogLevel::Warning, "report-of-other-service",
+            { { "server", report.life.id }, { "service", report.service } });
+        answer.isAccepted = false;
+        answer.cause = "the server is not of the service that belongs beside this instance";
+        return answer;
+    }
+    if (isStale(report)) {
+        log(LogLevel::Info, "report-stale",
+            { { "server", report.life.id }, { "sequence", report.sequence } });
+        return answer;
+    }
+    const TimePoint now = BootClock::now();
+    const bool isNewLife = !server_ || server_->report.life != report.life;
+    const bool wasDraining = !isNewLife && server_->report.isDraining;
+    const bool wasSilent = !isNewLife && server_->isSilent;
+    Server server;
+    if (!isNewLife)
+        server.leavingSince = server_->leavingSince;
+    if (report.isDraining && !server.leavingSince)
+        server.leavingSince = now;
+    if (!report.isDraining)
+        server.leavingSince.reset();
+    server.report = report;
+    server.reportedAt = now;
+    server.coldUntil = now + report.coldFor;
+    server_ = std::move(server);
+    if (isNewLife || wasDraining != report.isDraining || wasSilent)
+        changed(isNewLife ? "new-life" : "state");
+    else
+        options_.gate->setServer(GatedServer {
+            report.life, report.service, report.slots, server_->coldUntil, server_->leavingSince });
+    answer.keys = options_.answerKeys(report);
+    watchSilence();
+    return answer;
+}
+
+void ServerDuty::takeLeave(const ServerLeave& leave)
+{
+    if (!server_ || server_->report.life.id != leave.id || server_->hasLeft)
+        return;
+    server_->hasLeft = true;
+    if (!server_->leavingSince)
+        server_->leavingSince = BootClock::now();
+    changed("leave");
+}
+
+void ServerDuty::changed(const char* cause)
+{
+    const Server& server = *server_;
+    log(LogLevel::Info, "server-changed",
+        { { "cause", cause }, { "server", server.report.life.id },
+            { "startedMs", server.report.life.startedMs }, { "sequence", server.report.sequence },
+            { "isDraining", server.report.isDraining }, { "hasLeft", server.hasLeft },
+            { "isSilent", server.isSilent } });
+    if (server.isSilent)
+        options_.gate->setServer(std::nullopt);
+    else
+        options_.gate->setServer(GatedServer { server.report.life, server.report.service, server.report.slots,
+            server.coldUntil, server.leavingSince });
+    options_.onChange();
+}
+
+void ServerDuty::watchSilence()
+{
+    silenceTimer_.expires_after(options_.settings.reportInterval * silentIntervals);
+    silenceTimer_.async_wait([this](std::error_code error) {
+        if (error)
+            return;
+        server_->isSilent = true;
+        changed("silence");
+    });
+}
+
+std::optional<stored::ServerEntry> ServerDuty::entry() const
+{
+    if (!server_)
+        return std::nullopt;
+    stored::ServerEntry entry {};
+    entry.id = server_->report.life.id;
+    entry.startedMs = server_->report.life.startedMs;
+    entry.slots = server_->report.slots;
+    entry.readiness = stored::Readiness::Ready;
+    if (server_->isSilent)
+        entry.readiness = stored::Readiness::Absent;
+    else if (server_->leavingSince)
+        entry.readiness = stored::Readiness::Draining;
+    return entry;
+}
+
+std::optional<ServerLife> ServerDuty::life() const
+{
+    if (!server_ || server_->isSilent)
+        return std::nullopt;
+    return server_->report.life;
+}
+
+}
--- /dev/null
+++ b/src/sidecar/servergate.cpp
@@ -0,0 +1,314 @@
+#include "sidecar/servergate.h"
+
+#include "base/logger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    // After the server refused a connection, requests are not even tried for so long.
+    constexpr Milliseconds unreachablePause { 150 };
+    // Weight of one sample in the usual time of a route.
+    constexpr int usualWorkWeight = 8;
+    // Assumed of a route that was not measured yet, as a part of its objective.
+    constexpr int firstWorkPart = 3;
+    constexpr std::chrono::seconds coldWindow { 1 };
+    // A leaving server is given nothing any more this long before the bound.
+    constexpr Milliseconds leaveMargin { 500 };
+    // What is sent at the deadline cannot be answered in time.
+    constexpr Milliseconds leastTimeLeft { 5 };
+    constexpr int usualPacePercent = 100;
+
+    HttpClientOptions clientOptions(const ServerGateOptions& options)
+    {
+        HttpClientOptions result;
+        result.address = options.settings.serverAddress;
+        result.isAnswerTo = options.edges->isAnswerTo;
+        return result;
+    }
+
+    Milliseconds toMilliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<Milliseconds>(duration);
+    }
+
+    Reply refusalWith(RefusalReason reason, const char* detail, Milliseconds retryAfter)
+    {
+        Reply reply = notRun(reason, detail);
+        reply.retryAfter = retryAfter;
+        return reply;
+    }
+
+}
+
+ServerGate::ServerGate(ServerGateOptions options)
+    : options_(std::move(options))
+    , client_(*options_.loop, clientOptions(options_))
+    , timer_(*options_.loop)
+{
+}
+
+void ServerGate::setServer(std::optional<GatedServer> server)
+{
+    const bool isOther = !server || !server_ || server->life != server_->life;
+    server_ = std::move(server);
+    if (isOther) {
+        client_.closeAll();
+        unreachableUntil_ = TimePoint();
+    }
+    startWaiting();
+}
+
+peer::ServerLoad ServerGate::load() const
+{
+    peer::ServerLoad load = reportedLoad_;
+    load.running = static_cast<int64_t>(running_.size());
+    load.waiting = static_cast<int64_t>(waiting_.size());
+    load.slots = server_ ? server_->slots : 0;
+    if (load.pacePercent == 0)
+        load.pacePercent = usualPacePercent;
+    return load;
+}
+
+// Why the request may not run here at all; nothing when it may.
+std::optional<Reply> ServerGate::refusal(const GateCall& call, TimePoint now) const
+{
+    if (!server_ || server_->service != call.request.service)
+        return notRun(RefusalReason::ServerUnreachable, "no server of the service is here");
+    if (now < unreachableUntil_)
+        return notRun(RefusalReason::ServerUnreachable, "the server refused a connection just now");
+    const bool isKeyed = call.request.partition >= 0;
+    const bool mayFinishLeaving = isKeyed && server_->leavingSince
+        && now < *server_->leavingSince + options_.settings.drainTime - leaveMargin;
+    if (server_->leavingSince && !mayFinishLeaving)
+        return notRun(RefusalReason::ServerDraining, "the server is leaving");
+    if (isZoneOut_ && !isKeyed)
+        return notRun(RefusalReason::ServerDraining, "the availability zone is taken out");
+    if (isKeyed && !options_.mayRunKey(static_cast<int>(call.request.partition), now))
+        return notRun(RefusalReason::NotOwner, "the server does not own the key");
+    return std::nullopt;
+}
+
+Duration ServerGate::expectedWork(const std::string& route) const
+{
+    const auto found = usualWork_.find(route);
+    return found == usualWork_.end() ? Duration::zero() : found->second;
+}
+
+// How long a request of that priority would wait for a slot.
+Duration ServerGate::expectedWait(int64_t priority, TimePoint now) const
+{
+    const auto slots = static_cast<size_t>(server_->slots);
+    if (running_.size() + waiting_.size() < slots)
+        return Duration::zero();
+    Duration work { 0 };
+    for (const auto& [id, running] : running_)
+        work += std::max(Duration::zero(), running.expected - (now - running.began));
+    for (const auto& [rank, call] : waiting_) {
+        if (rank.first <= priority)
+            work += expectedWork(call.request.route);
+    }
+    return work / static_cast<int64_t>(slots);
+}
+
+ServerGate::CallId ServerGate::submit(GateCall call)
+{
+    const TimePoint now = BootClock::now();
+    const CallId id = nextId_++;
+    if (auto reply = refusal(call, now)) {
+        answer(call, *std::move(reply));
+        return id;
+    }
+    Duration work = expectedWork(call.request.route);
+    if (work == Duration::zero())
+        work = (call.objectiveEnd - now) / firstWorkPart;
+    const Duration wait = expectedWait(call.request.priority, now);
+    if (wait > Duration::zero() && now + wait + work > call.objectiveEnd) {
+        answer(call,
+            refusalWith(RefusalReason::QueueFull, "the server is too busy to answer within the objective",
+                toMilliseconds(wait)));
+        return id;
+    }
+    waiting_.emplace(Rank { call.request.priority, id }, std::move(call));
+    startWaiting();
+    return id;
+}
+
+void ServerGate::cancel(CallId id)
+{
+    const auto running = running_.find(id);
+    if (running != running_.end()) {
+        // What must not run twice is left to its end: breaking it off helps nobody.
+        running->second.call.reply = nullptr;
+        if (!running->second.call.request.idempotent)
+            return;
+        client_.cancel(running->second.httpCall);
+        running_.erase(running);
+        options_.counters->counter("server_requests_cancelled_total")++;
+        startWaiting();
+        return;
+    }
+    for (auto entry = waiting_.begin(); entry != waiting_.end(); ++entry) {
+        if (entry->first.second != id)
+            continue;
+        waiting_.erase(entry);
+        return;
+    }
+}
+
+// How long to wait until a cold server may be given one more request; zero when it may now.
+Duration ServerGate::untilColdRoom(TimePoint now)
+{
+    while (!startedLately_.empty() && now - startedLately_.front() >= coldWindow)
+        startedLately_.pop_front();
+    const bool isCold = coldRate_ > 0 && now < server_->coldUntil;
+    const auto mostStarts = static_cast<size_t>(std::max(1.0, std::floor(coldRate_)));
+    if (!isCold || startedLately_.size() < mostStarts)
+        return Duration::zero();
+    return startedLately_[startedLately_.size() - mostStarts] + coldWindow - now;
+}
+
+bool ServerGate::mayStart(TimePoint now)
+{
+    if (!server_ || waiting_.empty() || running_.size() >= static_cast<size_t>(server_->slots))
+        return false;
+    const Duration wait = untilColdRoom(now);
+    if (wait > Duration::zero())
+        armTimer(now + wait);
+    return wait <= Duration::zero();
+}
+
+void ServerGate::startWaiting()
+{
+    const TimePoint now = BootClock::now();
+    while (mayStart(now)) {
+        const CallId id = waiting_.begin()->first.second;
+        GateCall call = std::move(waiting_.begin()->second);
+        waiting_.erase(waiting_.begin());
+        if (auto reply = refusal(call, now))
+            answer(call, *std::move(reply));
+        else if (now + leastTimeLeft >= call.deadline)
+            answer(call, notRun(RefusalReason::DeadlinePassed, "the deadline passed in the queue"));
+        else
+            start(id, std::move(call), now);
+    }
+    refuseOverdue(now);
+}
+
+// What waits in the queue must not be kept past its objective.
+void ServerGate::refuseOverdue(TimePoint now)
+{
+    std::vector<GateCall> overdue;
+    TimePoint next = TimePoint::max();
+    for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+        const GateCall& call = entry->second;
+        const TimePoint end = std::min(call.objectiveEnd, call.deadline) - expectedWork(call.request.route);
+        if (!server_ || end <= now) {
+            overdue.push_back(std::move(entry->second));
+            entry = waiting_.erase(entry);
+        } else {
+            next = std::min(next, end);
+            ++entry;
+        }
+    }
+    if (next != TimePoint::max())
+        armTimer(next);
+    for (const GateCall& call : overdue)
+        answer(call, notRun(RefusalReason::QueueTimeout, "waited too long for the server"));
+}
+
+void ServerGate::armTimer(TimePoint at)
+{
+    const Duration wait = std::max<Duration>(at - BootClock::now(), Milliseconds(1));
+    timer_.expires_after(wait);
+    timer_.async_wait([this](std::error_code error) {
+        if (!error)
+            startWaiting();
+    });
+}
+
+void ServerGate::start(CallId id, GateCall call, TimePoint now)
+{
+    startedLately_.push_back(now);
+    const Duration left = call.deadline - now;
+    HttpRequest request
+        = options_.edges->writeToServer(call.request, call.body, server_->life, toMilliseconds(left));
+    Running running;
+    running.call = std::move(call);
+    running.began = now;
+    running.expected = expectedWork(running.call.request.route);
+    running.httpCall = client_.call(
+        std::move(request), left, [this, id](CallResult result) { ended(id, std::move(result)); });
+    running_.emplace(id, std::move(running));
+    options_.counters->counter("server_requests_total")++;
+}
+
+void ServerGate::ended(CallId id, CallResult result)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end())
+        return;
+    const Running running = std::move(found->second);
+    running_.erase(found);
+    const TimePoint now = BootClock::now();
+    const Duration work = now - running.began;
+    if (result.outcome == CallOutcome::NotSent)
+        unreachableUntil_ = now + unreachablePause;
+    Reply reply = replyOf(std::move(result));
+    if (reply.isAnswer)
+        noteWork(running.call.request.route, work);
+    log(LogLevel::Info, "server-call",
+        { { "request", running.call.request.requestId }, { "server", server_ ? server_->life.id : "" },
+            { "workMs", toMilliseconds(work).count() }, { "running", running_.size() },
+            { "waiting", waiting_.size() }, { "status", reply.status },
+            { "outcome", reply.isAnswer ? "answered" : std::string(refusalToken(reply.reason)) },
+            { "cause", reply.detail } });
+    answer(running.call, std::move(reply));
+    startWaiting();
+}
+
+Reply ServerGate::replyOf(CallResult result)
+{
+    switch (result.outcome) {
+    case CallOutcome::NotSent:
+        return notRun(RefusalReason::ServerUnreachable, result.detail);
+    case CallOutcome::Lost:
+        return unknownOutcome(RefusalReason::ServerFailed, result.detail);
+    case CallOutcome::TimedOut:
+        return unknownOutcome(RefusalReason::DeadlinePassed, result.detail);
+    case CallOutcome::Answered:
+        break;
+    }
+    const ServerAnswerHead head = options_.edges->readFromServer(result.response);
+    if (head.load)
+        reportedLoad_ = *head.load;
+    if (head.isNotRun)
+        return notRun(head.reason, "the server did not run the request");
+    Reply reply;
+    reply.isAnswer = true;
+    reply.status = result.response.status;
+    reply.headers = std::move(result.response.headers);
+    reply.body = std::move(result.response.body);
+    return reply;
+}
+
+void ServerGate::noteWork(const std::string& route, Duration work)
+{
+    Duration& usual = usualWork_[route];
+    usual = usual == Duration::zero() ? work : usual + (work - usual) / usualWorkWeight;
+}
+
+void ServerGate::answer(const GateCall& call, Reply reply) const
+{
+    if (!reply.isAnswer)
+        options_.counters->counter("gate_refusals_total", "reason", refusalToken(reply.reason))++;
+    if (!call.reply)
+        return;
+    reply.load = load();
+    call.reply(std::move(reply));
+}
+
+}
--- /dev/null
+++ b/src/sidecar/servergate.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "base/counters.h"
+#include "http/httpclient.h"
+#include "messages/reply.h"
+#include "sidecar/edges.h"
+#include "sidecar/sidecarsettings.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace persimmonfield {
+
+// A request at the gate of the server that is to run it.
+struct GateCall {
+    peer::ForwardedRequest request;
+    std::string body;
+    TimePoint deadline;
+    TimePoint objectiveEnd; // Until when an answer has its full worth.
+    std::function<void(Reply reply)> reply; // Called once, unless the call is cancelled.
+};
+
+// The server as the gate sees it.
+struct GatedServer {
+    ServerLife life;
+    std::string service;
+    int slots = 1;
+    TimePoint coldUntil;
+    std::optional<TimePoint> leavingSince; // When its leaving was acknowledged.
+};
+
+struct ServerGateOptions {
+    asio::io_context* loop = nullptr;
+    const Edges* edges = nullptr;
+    SidecarSettings settings;
+    Counters* counters = nullptr;
+    // Whether the server owns the key at present.
+    std::function<bool(int key, TimePoint now)> mayRunKey;
+};
+
+// The one way to the server beside this instance, and so the place where all that holds for one server is
+// enforced: its slots, its keys, what it bears while cold, its leaving. Refuses early what cannot be answered
+// within its objective. Runs on the loop's thread.
+class ServerGate {
+public:
+    using CallId = int64_t;
+
+    explicit ServerGate(ServerGateOptions options);
+
+    // Takes the request; its reply may come before the return.
+    CallId submit(GateCall call);
+
+    // The caller has left: the request is dropped, or the server is told to stop.
+    void cancel(CallId id);
+
+    // Nothing when there is no server, or none that is known to live.
+    void setServer(std::optional<GatedServer> server);
+    void setZoneOut(bool isOut) { isZoneOut_ = isOut; }
+    // Requests a second that the server bears while cold; 0 for any number.
+    void setColdRate(double perSecond) { coldRate_ = perSecond; }
+
+    peer::ServerLoad load() const;
+    bool isIdle() const { return waiting_.empty() && running_.empty(); }
+
+private:
+    // Urgent requests first, then in the order of arrival.
+    using Rank = std::pair<int64_t, CallId>;
+
+    struct Running {
+        GateCall call;
+        HttpClient::CallId httpCall = 0;
+        TimePoint began;
+        Duration expected { 0 };
+    };
+
+    std::optional<Reply> refusal(const GateCall& call, TimePoint now) const;
+    Duration expectedWork(const std::string& route) const;
+    Duration expectedWait(int64_t priority, TimePoint now) const;
+    void startWaiting();
+    bool mayStart(TimePoint now);
+    Duration untilColdRoom(TimePoint now);
+    void start(CallId id, GateCall call, TimePoint now);
+    void ended(CallId id, CallResult result);
+    Reply replyOf(CallResult result);
+    void noteWork(const std::string& route, Duration work);
+    void armTimer(TimePoint at);
+    void refuseOverdue(TimePoint now);
+    void answer(const GateCall& call, Reply reply) const;
+
+    ServerGateOptions options_;
+    HttpClient client_;
+    asio::steady_timer timer_;
+    std::optional<GatedServer> server_;
+    bool isZoneOut_ = false;
+    double coldRate_ = 0;
+    TimePoint unreachableUntil_;
+    CallId nextId_ = 1;
+    std::map<Rank, GateCall> waiting_;
+    std::map<CallId, Running> running_;
+    std::deque<TimePoint> startedLately_; // Within the last second.
+    std::map<std::string, Duration> usualWork_; // By route.
+    peer::ServerLoad reportedLoad_ {};
+};
+
+}
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,291 @@
+#include "sidecar/sidecar.h"
+
+#include "base/hashing.h"
+#include "base/logger.h"
+
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusUnavailable = 503;
+    constexpr size_t incarnationBytes = 8;
+    constexpr size_t secretBytes = 16;
+    constexpr const char* secretObject = "secret";
+    constexpr const char* secretMember = "secret";
+    constexpr Milliseconds secretPause { 300 };
+    constexpr Milliseconds stopCheckInterval { 50 };
+    // Callers learn from readiness checks, one a second, that they are to go elsewhere: two must fail.
+    constexpr Milliseconds leastStopTime { 2'300 };
+    // The process must be gone before it is ended by force.
+    constexpr Milliseconds stopMargin { 600 };
+
+}
+
+Sidecar::Builder& Sidecar::Builder::setSettings(SidecarSettings settings)
+{
+    settings_ = std::move(settings);
+    return *this;
+}
+
+Sidecar::Builder& Sidecar::Builder::setEdges(Edges edges)
+{
+    edges_ = std::move(edges);
+    return *this;
+}
+
+std::unique_ptr<Sidecar> Sidecar::Builder::build(asio::io_context& loop) const
+{
+    return std::unique_ptr<Sidecar>(new Sidecar(loop, settings_, edges_));
+}
+
+Sidecar::Sidecar(asio::io_context& loop, SidecarSettings settings, Edges edges)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , edges_(std::move(edges))
+    , incarnation_(randomHex(incarnationBytes))
+    , configuration_(edges_)
+    , transport_(loop, settings_.storeAddress)
+    , store_(loop, transport_, edges_.store)
+    , callers_(loop, [this](const auto& exchange) { ingress_->handle(exchange); })
+    , reports_(loop, [this](const auto& exchange) { server_->handle(exchange); })
+    , readiness_(loop, [this](const auto& exchange) { answerReadiness(exchange); })
+    , metrics_(loop, [this](const auto& exchange) { answerMetrics(exchange); })
+    , stopTimer_(loop)
+    , secretTimer_(loop)
+{
+    gate_ = std::make_unique<ServerGate>(ServerGateOptions { &loop_, &edges_, settings_, &counters_,
+        [this](int key, TimePoint now) { return keys_ && keys_->mayRun(key, now); } });
+    server_ = std::make_unique<ServerDuty>(ServerDutyOptions { &loop_, &edges_, settings_, gate_.get(),
+        [this](const ServerReport& report) { return answerKeys(report); },
+        [this] {
+            publishEntry();
+            onDirectoryChange();
+        } });
+    entry_ = std::make_unique<EntryDuty>(loop_, store_, directory_, [this] { onDirectoryChange(); });
+    PeerNetworkOptions options;
+    options.listenAddress = settings_.peerAddress;
+    options.counters = &counters_;
+    options.loop = &loop_;
+    options.onFrame = [this](LinkId link, Frame frame) { onFrame(link, std::move(frame)); };
+    options.onClosed = [this](LinkId link, bool wasOpen) {
+        peers_->onClosed(link, wasOpen);
+        peerGate_->onClosed(link);
+        relay_->onClosed(link);
+    };
+    network_ = std::make_unique<PeerNetwork>(std::move(options));
+    relay_ = std::make_unique<StoreRelay>(loop_, settings_.name, directory_, *network_, transport_);
+    peers_ = std::make_unique<PeerCalls>(*network_);
+    peerGate_ = std::make_unique<PeerGate>(*gate_, *network_);
+    ingress_ = std::make_unique<Ingress>(IngressOptions {
+        &loop_, &edges_, settings_, &counters_, &directory_, gate_.get(), peers_.get(), &rates_ });
+    transport_.setReachableHandler(
+        [](bool isReachable) { log(LogLevel::Info, isReachable ? "store-regained" : "store-lost", {}); });
+}
+
+Sidecar::~Sidecar() = default;
+
+absl::Status Sidecar::start()
+{
+    log(LogLevel::Info, "start",
+        { { "incarnation", incarnation_ }, { "zone", settings_.zone }, { "service", settings_.service } });
+    for (const auto& [server, address] :
+        { std::pair(&callers_, &settings_.callerAddress), std::pair(&reports_, &settings_.reportAddress),
+            std::pair(&readiness_, &settings_.readinessAddress),
+            std::pair(&metrics_, &settings_.metricsAddress) }) {
+        if (address->port == 0)
+            continue;
+        if (absl::Status status = server->listen(*address); !status.ok())
+            return status;
+    }
+    watchStore();
+    return absl::OkStatus();
+}
+
+void Sidecar::watchStore()
+{
+    store_.watch(edges_.configurationKind, [this](const StorePage& page, bool) {
+        if (configuration_.takeConfiguration(page))
+            onConfiguration();
+    });
+    store_.watch(edges_.zonesOutKind, [this](const StorePage& page, bool isWhole) {
+        if (configuration_.takeZones(page, isWhole))
+            onZones();
+    });
+    store_.watch(fleetKind, [this](const StorePage& page, bool isWhole) { onFleet(page, isWhole); });
+}
+
+void Sidecar::onFleet(const StorePage& page, bool isWhole)
+{
+    directory_.apply(page, isWhole);
+    for (const StoreObject& object : page.objects) {
+        if (object.name == secretObject && object.value.is_object())
+            startNetwork(object.value.value(secretMember, std::string()));
+    }
+    if (!isJoining_)
+        joinFleet();
+    onDirectoryChange();
+}
+
+// The secret of the links is made by whoever comes first.
+void Sidecar::joinFleet()
+{
+    if (std::exchange(isJoining_, true))
+        return;
+    const nlohmann::json value { { secretMember, randomHex(secretBytes) } };
+    store_.write({ fleetKind, secretObject, value, 0 }, [this](const StoreWriteResult& result) {
+        if (result.object && result.object->value.is_object())
+            return startNetwork(result.object->value.value(secretMember, std::string()));
+        log(LogLevel::Info, "fleet-secret-not-written", { { "cause", result.detail } });
+        secretTimer_.expires_after(secretPause);
+        secretTimer_.async_wait([this](std::error_code error) {
+            isJoining_ = false;
+            if (!error)
+                joinFleet();
+        });
+    });
+}
+
+void Sidecar::startNetwork(const std::string& secret)
+{
+    isJoining_ = true;
+    if (secret.empty() || network_->isStarted())
+        return;
+    const absl::Status status = network_->start(secret);
+    if (!status.ok())
+        log(LogLevel::Error, "peer-address-refused", { { "cause", std::string(status.message()) } });
+    transport_.setRelay(
+        [this](const HttpRequest& request, Duration timeout, const StoreTransport::Done& done) {
+            return relay_->call(request, timeout, done);
+        });
+    publishEntry();
+}
+
+void Sidecar::publishEntry()
+{
+    if (!network_->isStarted())
+        return;
+    stored::InstanceEntry entry;
+    entry.name = settings_.name;
+    entry.incarnation = incarnation_;
+    entry.zone = settings_.zone;
+    entry.service = settings_.service;
+    entry.peerAddress = settings_.peerAddress.text();
+    entry.departing = isStopping_;
+    entry.server = server_->entry();
+    entry_->publish(std::move(entry));
+}
+
+void Sidecar::onConfiguration()
+{
+    const VersionedConfiguration& current = *configuration_.current();
+    HttpServerLimits limits;
+    limits.headerBytes = current.headerBytes;
+    limits.bodyBytes = current.bodyBytes;
+    limits.headerTimeout = current.headerTimeout;
+    limits.idleTimeout = current.idleTimeout;
+    callers_.setLimits(limits);
+    ingress_->setConfiguration(current.configuration);
+    rates_.setConfiguration(current.configuration);
+    const auto service = current.configuration->services.find(settings_.service);
+    if (service == current.configuration->services.end())
+        return;
+    gate_->setColdRate(service->second.coldRate);
+    if (!service->second.isRangeKeyed || keys_)
+        return;
+    keys_ = std::make_unique<KeyDuty>(KeyDutyOptions { &loop_, settings_, incarnation_, &store_, &directory_,
+        [this] { return server_->life(); },
+        [this]() -> const std::set<std::string>& { return configuration_.zonesOut(); },
+        [this] { onDirectoryChange(); } });
+    keys_->start();
+}
+
+void Sidecar::onZones()
+{
+    gate_->setZoneOut(configuration_.zonesOut().count(settings_.zone) > 0);
+    ingress_->setZonesOut(configuration_.zonesOut());
+    onDirectoryChange();
+}
+
+void Sidecar::onDirectoryChange()
+{
+    rates_.setInstances(directory_.instances().size());
+    if (keys_)
+        keys_->onDirectoryChange();
+    ingress_->onDirectoryChange();
+}
+
+std::optional<KeyAnswer> Sidecar::answerKeys(const ServerReport& report)
+{
+    if (!keys_)
+        return std::nullopt;
+    return keys_->answer(report);
+}
+
+void Sidecar::onFrame(LinkId link, Frame frame)
+{
+    peer::PeerMessage& message = frame.message;
+    if (message.forwardedRequest)
+        peerGate_->onRequest(link, *std::move(message.forwardedRequest), std::move(frame.body));
+    else if (message.forwardedAnswer)
+        peers_->onAnswer(link, *message.forwardedAnswer, std::move(frame.body));
+    else if (message.refusal)
+        peers_->onRefusal(link, *message.refusal);
+    else if (message.cancel)
+        peerGate_->onCancel(link, *message.cancel);
+    else if (message.storeCall)
+        relay_->onCall(link, *message.storeCall);
+    else if (message.storeAnswer)
+        relay_->onAnswer(link, *message.storeAnswer);
+    else
+        log(LogLevel::Warning, "frame-unexpected", { { "link", link } });
+}
+
+void Sidecar::answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const
+{
+    const bool isReady = !isStopping_ && ingress_->hasConfiguration() && directory_.isLoaded();
+    HttpResponse response;
+    response.status = isReady ? statusOk : statusUnavailable;
+    exchange->respond(std::move(response));
+}
+
+void Sidecar::answerMetrics(const std::shared_ptr<HttpExchange>& exchange) const
+{
+    HttpResponse response;
+    response.status = statusOk;
+    response.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
+    response.body = counters_.exposition();
+    exchange->respond(std::move(response));
+}
+
+void Sidecar::stop(std::function<void()> done)
+{
+    if (std::exchange(isStopping_, true))
+        return;
+    log(LogLevel::Info, "stop", {});
+    onStopped_ = std::move(done);
+    stopBegan_ = BootClock::now();
+    publishEntry();
+    checkStopped();
+}
+
+void Sidecar::checkStopped()
+{
+    const Duration passed = BootClock::now() - stopBegan_;
+    const bool isIdle = ingress_->isIdle() && gate_->isIdle();
+    const bool isTimeUp = passed >= settings_.stopTime - stopMargin;
+    // Connections that are still in use are told to go with their next answer.
+    callers_.drain();
+    if (isTimeUp || (isIdle && passed >= leastStopTime)) {
+        log(LogLevel::Info, "stopped", { { "isIdle", isIdle } });
+        return onStopped_();
+    }
+    stopTimer_.expires_after(stopCheckInterval);
+    stopTimer_.async_wait([this](std::error_code error) {
+        if (!error)
+            checkStopped();
+    });
+}
+
+}
--- /dev/null
+++ b/src/sidecar/sidecar.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "base/counters.h"
+#include "http/httpserver.h"
+#include "sidecar/configurationkeeper.h"
+#include "sidecar/edges.h"
+#include "sidecar/entryduty.h"
+#include "sidecar/fleetdirectory.h"
+#include "sidecar/ingress.h"
+#include "sidecar/keyduty.h"
+#include "sidecar/peercalls.h"
+#include "sidecar/peergate.h"
+#include "sidecar/serverduty.h"
+#include "sidecar/servergate.h"
+#include "sidecar/sidecarsettings.h"
+#include "sidecar/storerelay.h"
+#include "sidecar/teamrates.h"
+#include "store/storesession.h"
+#include "store/storetransport.h"
+#include "transport/peernetwork.h"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace persimmonfield {
+
+// One daemon beside a backend server, driven by one event loop: all sockets and decisions on one thread.
+class Sidecar {
+public:
+    // Builds a sidecar from its settings and the edges of its deployment.
+    class Builder {
+    public:
+        Builder& setSettings(SidecarSettings settings);
+        Builder& setEdges(Edges edges);
+        std::unique_ptr<Sidecar> build(asio::io_context& loop) const;
+
+    private:
+        SidecarSettings settings_;
+        Edges edges_;
+    };
+
+    ~Sidecar();
+
+    // Unavailable when an address cannot be listened on.
+    absl::Status start();
+
+    // A planned stop: takes no new callers, lets what runs end, then calls `done`.
+    void stop(std::function<void()> done);
+
+private:
+    Sidecar(asio::io_context& loop, SidecarSettings settings, Edges edges);
+
+    void watchStore();
+    void joinFleet();
+    void startNetwork(const std::string& secret);
+    void publishEntry();
+    void onFleet(const StorePage& page, bool isWhole);
+    void onConfiguration();
+    void onZones();
+    void onDirectoryChange();
+    void onFrame(LinkId link, Frame frame);
+    void answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const;
+    void answerMetrics(const std::shared_ptr<HttpExchange>& exchange) const;
+    std::optional<KeyAnswer> answerKeys(const ServerReport& report);
+    void checkStopped();
+
+    asio::io_context& loop_;
+    SidecarSettings settings_;
+    Edges edges_;
+    std::string incarnation_;
+    Counters counters_;
+    FleetDirectory directory_;
+    ConfigurationKeeper configuration_;
+    StoreTransport transport_;
+    StoreSession store_;
+    std::unique_ptr<PeerNetwork> network_; // Once the fleet's secret is known.
+    std::unique_ptr<StoreRelay> relay_;
+    std::unique_ptr<PeerCalls> peers_;
+    std::unique_ptr<PeerGate> peerGate_;
+    TeamRates rates_;
+    std::unique_ptr<ServerGate> gate_;
+    std::unique_ptr<KeyDuty> keys_; // Where the service is divided by key.
+    std::unique_ptr<ServerDuty> server_;
+    std::unique_ptr<EntryDuty> entry_;
+    std::unique_ptr<Ingress> ingress_;
+    HttpServer callers_;
+    HttpServer reports_;
+    HttpServer readiness_;
+    HttpServer metrics_;
+    asio::steady_timer stopTimer_;
+    asio::steady_timer secretTimer_;
+    bool isJoining_ = false;
+    bool isStopping_ = false;
+    TimePoint stopBegan_;
+    std::function<void()> onStopped_;
+};
+
+}
--- /dev/null
+++ b/src/sidecar/sidecarsettings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/time.h"
+
+#include <string>
+
+namespace persimmonfield {
+
+// What a sidecar has to know of its place.
+struct SidecarSettings {
+    std::string name; // Of this instance.
+    std::string zone;
+    std::string service; // Of the server beside it.
+    Address callerAddress;
+    Address reportAddress; // Where the server reports.
+    Address readinessAddress;
+    Address peerAddress; // Where other instances connect.
+    Address serverAddress;
+    Address storeAddress;
+    Address metricsAddress; // Without a port where none is wanted.
+    Milliseconds reportInterval { 1'000 };
+    Milliseconds drainTime {
+        2'000
+    }; // How long a leaving server may be given work after the acknowledgement.
+    Milliseconds stopTime { 6'000 }; // Between the signal to stop and the end by force.
+    double retryShare = 0.1; // Retries by requests, over the fleet.
+    int retryReserve = 20; // Retries in a window beyond that share, over the fleet.
+    Milliseconds retryWindow { 10'000 };
+    bool isRangeKeyed = false;
+};
+
+}
--- /dev/null
+++ b/src/sidecar/storerelay.cpp
@@ -0,0 +1,123 @@
+#include "sidecar/storerelay.h"
+
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+
+StoreRelay::StoreRelay(asio::io_context& loop, const std::string& self, const FleetDirectory& directory,
+    PeerNetwork& network, StoreTransport& transport)
+    : loop_(loop)
+    , self_(self)
+    , directory_(directory)
+    , network_(network)
+    , transport_(transport)
+{
+}
+
+// The instance that helped last, or after it failed the next one by name.
+std::string StoreRelay::nextHelper()
+{
+    const auto& instances = directory_.instances();
+    auto entry = hasHelperFailed_ || instances.count(lastHelper_) == 0 ? instances.upper_bound(lastHelper_)
+                                                                       : instances.find(lastHelper_);
+    for (size_t i = 0; i <= instances.size(); ++i) {
+        if (entry == instances.end())
+            entry = instances.begin();
+        if (entry == instances.end())
+            return {};
+        if (entry->first != self_ && !entry->second.value.departing)
+            return entry->first;
+        ++entry;
+    }
+    return {};
+}
+
+bool StoreRelay::call(const HttpRequest& request, Duration timeout, const StoreTransport::Done& done)
+{
+    const std::string helper = nextHelper();
+    if (helper.empty())
+        return false;
+    const LinkId link = network_.linkTo(directory_.instance(helper)->peerAddress);
+    const int64_t id = nextId_++;
+    lastHelper_ = helper;
+    hasHelperFailed_ = false;
+    peer::PeerMessage message;
+    message.storeCall = peer::StoreCall {};
+    message.storeCall->id = id;
+    message.storeCall->method = request.method;
+    message.storeCall->target = request.target;
+    message.storeCall->body = request.body;
+    message.storeCall->timeoutMs = std::chrono::duration_cast<Milliseconds>(timeout).count();
+    if (link == 0 || !network_.send(link, { message, {} })) {
+        hasHelperFailed_ = true;
+        return false;
+    }
+    Open& open = open_[id];
+    open.link = link;
+    open.done = done;
+    open.timer = std::make_unique<asio::steady_timer>(loop_);
+    open.timer->expires_after(timeout);
+    open.timer->async_wait([this, id](std::error_code error) {
+        if (!error)
+            end(id, { CallOutcome::TimedOut, {}, "the other instance did not answer" });
+    });
+    return true;
+}
+
+void StoreRelay::end(int64_t id, CallResult result)
+{
+    const auto found = open_.find(id);
+    if (found == open_.end())
+        return;
+    const auto done = std::move(found->second.done);
+    open_.erase(found);
+    hasHelperFailed_ = hasHelperFailed_ || result.outcome != CallOutcome::Answered;
+    done(std::move(result));
+}
+
+void StoreRelay::onCall(LinkId link, const peer::StoreCall& call)
+{
+    HttpRequest request;
+    request.method = call.method;
+    request.target = call.target;
+    request.body = call.body;
+    if (!request.body.empty())
+        request.headers.push_back({ "Content-Type", "application/json" });
+    const auto reply = [this, link, id = call.id](const CallResult& result) {
+        peer::PeerMessage message;
+        message.storeAnswer = peer::StoreAnswer {};
+        message.storeAnswer->id = id;
+        message.storeAnswer->status = result.outcome == CallOutcome::Answered ? result.response.status : 0;
+        message.storeAnswer->body = result.response.body;
+        network_.send(link, { message, {} });
+    };
+    if (!transport_.callForOther(request, Milliseconds(call.timeoutMs), reply))
+        reply({ CallOutcome::NotSent, {}, {} });
+}
+
+void StoreRelay::onAnswer(LinkId link, const peer::StoreAnswer& answer)
+{
+    const auto found = open_.find(answer.id);
+    if (found == open_.end() || found->second.link != link)
+        return;
+    CallResult result;
+    result.outcome = answer.status == 0 ? CallOutcome::Lost : CallOutcome::Answered;
+    result.response.status = static_cast<int>(answer.status);
+    result.response.body = answer.body;
+    result.detail = answer.status == 0 ? "the other instance did not reach the store" : "";
+    end(answer.id, std::move(result));
+}
+
+void StoreRelay::onClosed(LinkId link)
+{
+    std::vector<int64_t> lost;
+    for (const auto& [id, open] : open_) {
+        if (open.link == link)
+            lost.push_back(id);
+    }
+    for (const int64_t id : lost)
+        end(id, { CallOutcome::Lost, {}, "the link to the other instance was lost" });
+}
+
+}
--- a/src/platform/objectclient.cpp
+++ b/src/store/objectclient.cpp
@@ -1,4 +1,4 @@
-#include "platform/objectclient.h"
+#include "store/objectclient.h"
 
 #include <fmt/format.h>
 #include <httplib.h>
--- a/src/platform/resolvedwrite.cpp
+++ b/src/store/resolvedwrite.cpp
@@ -1,4 +1,4 @@
-#include "platform/resolvedwrite.h"
+#include "store/resolvedwrite.h"
 
 #include <optional>
 #include <thread>
--- a/src/platform/resolvedwrite.h
+++ b/src/store/resolvedwrite.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/objectclient.h"
+#include "store/objectclient.h"
 
 #include <functional>
 #include <string>
--- /dev/null
+++ b/src/store/storesession.cpp
@@ -0,0 +1,204 @@
+#include "store/storesession.h"
+
+#include "base/logger.h"
+
+#include <asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusCreated = 201;
+    constexpr int statusNotFound = 404;
+    constexpr int statusConflict = 409;
+    constexpr int statusGone = 410;
+    constexpr int statusTooMany = 429;
+    constexpr int statusUnavailable = 503;
+    // Longer than a slow store takes, shorter than the bounds on configuration.
+    constexpr Milliseconds callTimeout { 1'500 };
+    // A waiting watch is one call; the store ends it after 30 s at most.
+    constexpr Milliseconds watchWait { 25'000 };
+    constexpr Milliseconds firstPause { 100 };
+    constexpr Milliseconds longestPause { 800 };
+
+    absl::Status statusOf(const CallResult& result)
+    {
+        if (result.outcome != CallOutcome::Answered)
+            return absl::UnavailableError(result.detail);
+        if (result.response.status == statusGone)
+            return absl::OutOfRangeError("the store's history is gone");
+        if (result.response.status != statusOk)
+            return absl::UnavailableError(fmt::format("status {}", result.response.status));
+        return absl::OkStatus();
+    }
+
+}
+
+// Follows one kind: a whole listing, then one waiting watch after the other.
+class StoreSession::KindWatch : public std::enable_shared_from_this<KindWatch> {
+public:
+    KindWatch(StoreSession& session, std::string kind, ChangeHandler handler)
+        : session_(&session)
+        , kind_(std::move(kind))
+        , handler_(std::move(handler))
+        , timer_(session.loop_)
+    {
+    }
+
+    void list()
+    {
+        session_->list(kind_, false, [self = shared_from_this()](const absl::StatusOr<StorePage>& page) {
+            if (!self->session_)
+                return;
+            if (!page.ok())
+                return self->retry(page.status());
+            self->take(*page, true);
+        });
+    }
+
+    void stop()
+    {
+        session_ = nullptr;
+        timer_.cancel();
+    }
+
+private:
+    void follow()
+    {
+        session_->fetchEvents(
+            kind_, revision_, [self = shared_from_this()](const absl::StatusOr<StorePage>& page) {
+                if (!self->session_)
+                    return;
+                if (absl::IsOutOfRange(page.status()))
+                    return self->list();
+                if (!page.ok())
+                    return self->retry(page.status());
+                self->take(*page, false);
+            });
+    }
+
+    void take(const StorePage& page, bool isWhole)
+    {
+        pause_ = firstPause;
+        revision_ = std::max(revision_, page.revision);
+        if (isWhole || !page.objects.empty())
+            handler_(page, isWhole);
+        if (session_)
+            follow();
+    }
+
+    void retry(const absl::Status& cause)
+    {
+        log(LogLevel::Info, "store-watch-broken",
+            { { "kind", kind_ }, { "revision", revision_ }, { "cause", std::string(cause.message()) } });
+        timer_.expires_after(pause_);
+        pause_ = std::min(pause_ * 2, longestPause);
+        timer_.async_wait([self = shared_from_this()](std::error_code error) {
+            if (error || !self->session_)
+                return;
+            if (self->revision_ > 0)
+                self->follow();
+            else
+                self->list();
+        });
+    }
+
+    StoreSession* session_; // Null once stopped.
+    std::string kind_;
+    ChangeHandler handler_;
+    asio::steady_timer timer_;
+    Milliseconds pause_ = firstPause;
+    int64_t revision_ = 0;
+};
+
+StoreSession::StoreSession(asio::io_context& loop, StoreTransport& transport, StoreDialect dialect)
+    : loop_(loop)
+    , transport_(transport)
+    , dialect_(std::move(dialect))
+{
+}
+
+StoreSession::~StoreSession()
+{
+    for (const auto& watch : watches_)
+        watch->stop();
+}
+
+void StoreSession::watch(const std::string& kind, ChangeHandler handler)
+{
+    watches_.push_back(std::make_shared<KindWatch>(*this, kind, std::move(handler)));
+    watches_.back()->list();
+}
+
+void StoreSession::list(const std::string& kind, bool mayBeStale, const PageDone& done)
+{
+    listFrom(kind, mayBeStale, {}, done);
+}
+
+// Follows the pages; the first one's revision counts, since what changed between them comes with a watch.
+void StoreSession::listFrom(const std::string& kind, bool mayBeStale, StorePage before, const PageDone& done)
+{
+    const std::string after = before.objects.empty() ? std::string() : before.objects.back().name;
+    transport_.call(dialect_.list(kind, after, mayBeStale), callTimeout,
+        [this, kind, mayBeStale, before = std::move(before), done](const CallResult& result) mutable {
+            if (absl::Status status = statusOf(result); !status.ok())
+                return done(std::move(status));
+            auto page = dialect_.readPage(kind, result.response.body);
+            if (!page.ok())
+                return done(page.status());
+            const bool isFirst = before.revision == 0;
+            before.revision = isFirst ? page->revision : before.revision;
+            const bool hasMore = page->hasMore && !page->objects.empty();
+            std::move(page->objects.begin(), page->objects.end(), std::back_inserter(before.objects));
+            if (hasMore)
+                return listFrom(kind, mayBeStale, std::move(before), done);
+            done(std::move(before));
+        });
+}
+
+void StoreSession::fetchEvents(const std::string& kind, int64_t afterRevision, const PageDone& done)
+{
+    transport_.call(dialect_.watch(kind, afterRevision, watchWait), watchWait + callTimeout,
+        [this, kind, done](const CallResult& result) {
+            if (absl::Status status = statusOf(result); !status.ok())
+                return done(std::move(status));
+            done(dialect_.readEvents(kind, result.response.body));
+        });
+}
+
+void StoreSession::write(const StoreWrite& write, const WriteDone& done)
+{
+    transport_.call(
+        dialect_.write(write), callTimeout, [this, kind = write.kind, done](const CallResult& result) {
+            StoreWriteResult written;
+            written.detail = result.detail;
+            if (result.outcome == CallOutcome::NotSent)
+                written.outcome = WriteOutcome::Refused;
+            if (result.outcome != CallOutcome::Answered)
+                return done(std::move(written));
+            const int status = result.response.status;
+            written.detail = fmt::format("status {}", status);
+            const bool isApplied = status == statusOk || status == statusCreated;
+            const bool isConflict = status == statusConflict || status == statusNotFound;
+            if (isApplied)
+                written.outcome = WriteOutcome::Applied;
+            else if (isConflict)
+                written.outcome = WriteOutcome::Conflict;
+            else if (status == statusTooMany || status == statusUnavailable)
+                written.outcome = WriteOutcome::Refused;
+            if (isApplied || status == statusConflict) {
+                auto object = dialect_.readObject(kind, result.response.body);
+                if (object.ok())
+                    written.object = *std::move(object);
+                else if (isApplied)
+                    written.outcome = WriteOutcome::Unknown;
+            }
+            done(std::move(written));
+        });
+}
+
+}
--- /dev/null
+++ b/src/store/storesession.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "store/objectclient.h"
+#include "store/storedialect.h"
+#include "store/storetransport.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace persimmonfield {
+
+// What became of a conditional write, and the object as the store holds it where it said so.
+struct StoreWriteResult {
+    WriteOutcome outcome = WriteOutcome::Unknown;
+    std::optional<StoreObject> object;
+    std::string detail;
+};
+
+// The event-driven side of the store: listings, waiting watches and conditional writes in the store's
+// dialect.
+class StoreSession {
+public:
+    using PageDone = std::function<void(absl::StatusOr<StorePage> page)>;
+    using WriteDone = std::function<void(StoreWriteResult result)>;
+    // Objects that changed. A whole listing replaces all that was known of the kind.
+    using ChangeHandler = std::function<void(const StorePage& page, bool isWhole)>;
+
+    StoreSession(asio::io_context& loop, StoreTransport& transport, StoreDialect dialect);
+    ~StoreSession();
+
+    // All objects of a kind; ones that may be seconds old cost the store less.
+    void list(const std::string& kind, bool mayBeStale, const PageDone& done);
+
+    // One try of a conditional write.
+    void write(const StoreWrite& write, const WriteDone& done);
+
+    // Keeps the handler informed of a kind from now on.
+    void watch(const std::string& kind, ChangeHandler handler);
+
+private:
+    class KindWatch;
+
+    void listFrom(const std::string& kind, bool mayBeStale, StorePage before, const PageDone& done);
+    void fetchEvents(const std::string& kind, int64_t afterRevision, const PageDone& done);
+
+    asio::io_context& loop_;
+    StoreTransport& transport_;
+    StoreDialect dialect_;
+    std::vector<std::shared_ptr<KindWatch>> watches_;
+};
+
+}
--- /dev/null
+++ b/src/store/storetransport.cpp
@@ -0,0 +1,73 @@
+#include "store/storetransport.h"
+
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr int statusTooMany = 429;
+    constexpr int statusUnavailable = 503;
+    constexpr Milliseconds connectTimeout { 500 };
+    // A store that turned this instance away is tried again after this time.
+    constexpr Milliseconds directPause { 1'000 };
+
+    bool isTurnedAway(const CallResult& result)
+    {
+        if (result.outcome != CallOutcome::Answered)
+            return true;
+        return result.response.status == statusTooMany || result.response.status == statusUnavailable;
+    }
+
+    HttpClientOptions clientOptions(const Address& address)
+    {
+        HttpClientOptions options;
+        options.address = address;
+        options.connectTimeout = connectTimeout;
+        options.noticesSilence = true;
+        return options;
+    }
+
+}
+
+StoreTransport::StoreTransport(asio::io_context& loop, const Address& address)
+    : client_(loop, clientOptions(address))
+{
+}
+
+void StoreTransport::call(const HttpRequest& request, Duration timeout, const Done& done)
+{
+    const bool mayTryDirectly = isReachable_ || BootClock::now() >= nextDirectTry_;
+    if (!mayTryDirectly && relay_ && relay_(request, timeout, done))
+        return;
+    callDirectly(request, timeout, [this, request, timeout, done](CallResult result) {
+        if (isTurnedAway(result) && relay_ && relay_(request, timeout, done))
+            return;
+        done(std::move(result));
+    });
+}
+
+bool StoreTransport::callForOther(const HttpRequest& request, Duration timeout, const Done& done)
+{
+    if (!isReachable_)
+        return false;
+    callDirectly(request, timeout, done);
+    return true;
+}
+
+void StoreTransport::callDirectly(const HttpRequest& request, Duration timeout, const Done& done)
+{
+    client_.call(request, timeout, [this, done](CallResult result) {
+        noteDirect(!isTurnedAway(result));
+        done(std::move(result));
+    });
+}
+
+void StoreTransport::noteDirect(bool isGood)
+{
+    if (!isGood)
+        nextDirectTry_ = BootClock::now() + directPause;
+    if (std::exchange(isReachable_, isGood) != isGood && onReachable_)
+        onReachable_(isGood);
+}
+
+}
--- /dev/null
+++ b/src/store/storetransport.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/address.h"
+#include "base/time.h"
+#include "http/httpclient.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+
+namespace persimmonfield {
+
+// Carries calls to the store: straight, or through another instance while the store turns this one away.
+class StoreTransport {
+public:
+    using Done = HttpClient::Done;
+    // Hands a call to another instance; answers false when none can be asked.
+    using Relay = std::function<bool(const HttpRequest& request, Duration timeout, const Done& done)>;
+
+    StoreTransport(asio::io_context& loop, const Address& address);
+
+    void setRelay(Relay relay) { relay_ = std::move(relay); }
+
+    // Calls the store; `done` is called once, after the return.
+    void call(const HttpRequest& request, Duration timeout, const Done& done);
+
+    // Calls the store straight only, for another instance; false when this one is turned away itself.
+    bool callForOther(const HttpRequest& request, Duration timeout, const Done& done);
+
+    // Called when the store was lost or answers again.
+    void setReachableHandler(std::function<void(bool isReachable)> handler)
+    {
+        onReachable_ = std::move(handler);
+    }
+
+    bool isReachable() const { return isReachable_; }
+
+private:
+    void callDirectly(const HttpRequest& request, Duration timeout, const Done& done);
+    void noteDirect(bool isGood);
+
+    HttpClient client_;
+    Relay relay_;
+    std::function<void(bool)> onReachable_;
+    bool isReachable_ = true;
+    TimePoint nextDirectTry_;
+};
+
+}
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -10,6 +10,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -48,6 +49,7 @@
         std::vector<std::string> waiting; // Encoded frames to send once open.
         TimePoint lastSent;
         TimePoint lastPing;
+        TimePoint lastReceived;
         std::optional<TimePoint> unansweredSince; // The first ping after which nothing was received.
     };
 
@@ -60,8 +62,12 @@
     {
     }
 
+    void setSecret(const std::string& secret) { options_.secret = secret; }
+    bool isStarted() const { return isStarted_; }
+
     absl::Status start()
     {
+        isStarted_ = true;
         prepare(client_);
         prepare(server_);
         server_.set_reuse_addr(true);
@@ -78,19 +84,22 @@
                 fmt::format("cannot listen on {}: {}", options_.listenAddress.text(), error.message()));
         server_.start_accept(error);
         scheduleCheck();
-        thread_ = std::thread([this] { ioService_.run(); });
+        if (!options_.loop)
+            thread_ = std::thread([this] { ownLoop_.run(); });
         return absl::OkStatus();
     }
 
     void stop()
     {
-        ioService_.stop();
+        ownLoop_.stop();
         if (thread_.joinable())
             thread_.join();
     }
 
     LinkId linkTo(const std::string& address)
     {
+        if (!isStarted_)
+            return 0;
         std::unique_lock lock(mutex_);
         const auto known = byAddress_.find(address);
         if (known != byAddress_.end())
@@ -148,7 +157,7 @@
     {
         endpoint.clear_access_channels(websocketpp::log::alevel::all);
         endpoint.clear_error_channels(websocketpp::log::elevel::all);
-        endpoint.init_asio(&ioService_);
+        endpoint.init_asio(options_.loop ? options_.loop : &ownLoop_);
         endpoint.set_max_message_size(largestFrame);
         endpoint.set_tcp_post_init_handler([&endpoint](const Handle& handle) {
             std::error_code ignored;
@@ -209,7 +218,7 @@
         link.address = address;
         link.state = state;
         link.handle = handle;
-        link.lastSent = link.lastPing = BootClock::now();
+        link.lastSent = link.lastPing = link.lastReceived = BootClock::now();
         byHandle_[handle] = id;
         if (!address.empty())
             byAddress_[address] = id;
@@ -271,7 +280,11 @@
             noteReceived(links_[id->second]);
     }
 
-    static void noteReceived(Link& link) { link.unansweredSince.reset(); }
+    static void noteReceived(Link& link)
+    {
+        link.unansweredSince.reset();
+        link.lastReceived = BootClock::now();
+    }
 
     void received(const Handle& handle, const std::string& payload)
     {
@@ -316,6 +329,9 @@
             for (auto& [id, link] : links_) {
                 if (link.state != LinkState::Open || link.address.empty() || now - link.lastSent > activeFor)
                     continue;
+                // What came lately shows that the link lives.
+                if (!link.unansweredSince && now - link.lastReceived < pingInterval)
+                    continue;
                 if (link.unansweredSince && now - *link.unansweredSince > silenceBound) {
                     toEnd.push_back(link.handle);
                 } else if (now - link.lastPing >= pingInterval) {
@@ -338,10 +354,11 @@
     }
 
     PeerNetworkOptions options_;
-    asio::io_service ioService_;
+    asio::io_context ownLoop_;
     Client client_;
     Server server_;
     std::thread thread_;
+    std::atomic<bool> isStarted_ { false };
     std::mutex mutex_;
     LinkId nextId_ = 1;
     std::unordered_map<LinkId, Link> links_;
@@ -364,6 +381,17 @@
     return impl_->start();
 }
 
+absl::Status PeerNetwork::start(const std::string& secret)
+{
+    impl_->setSecret(secret);
+    return impl_->start();
+}
+
+bool PeerNetwork::isStarted() const
+{
+    return impl_->isStarted();
+}
+
 void PeerNetwork::stop()
 {
     impl_->stop();
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -5,6 +5,8 @@
 #include "base/time.h"
 #include "messages/frame.h"
 
+#include <asio/io_context.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,13 +21,15 @@
     Address listenAddress;
     std::string secret; // Shared by all daemons of the fleet.
     Counters* counters = nullptr;
+    // The loop that drives the network; where there is none, the network runs one on a thread of its own.
+    asio::io_context* loop = nullptr;
     // Called on the network's own thread; must not block.
     std::function<void(LinkId link, Frame frame)> onFrame;
     std::function<void(LinkId link, bool wasOpen)> onClosed; // A link never open carried nothing.
 };
 
-// The connections to other daemons: one thread that listens, dials on demand, notices silent connections and
-// hands over whole frames.
+// The connections to other daemons: listens, dials on demand, notices silent connections and hands over whole
+// frames, all on one loop.
 class PeerNetwork {
 public:
     explicit PeerNetwork(PeerNetworkOptions options);
@@ -36,6 +40,11 @@
     // Unavailable when the address cannot be listened on.
     absl::Status start();
 
+    // The same with a secret that was not known before; without one, links are neither dialed nor accepted.
+    absl::Status start(const std::string& secret);
+
+    bool isStarted() const;
+
     void stop();
 
     // The link to the daemon at that "IP:PORT", dialed when there is none yet.
--- a/tests/platform/platform.cpp
+++ b/tests/store/store.cpp
@@ -1,6 +1,6 @@
 // Resolving writes whose answers are lost, against a store that knows the truth.
 
-#include "platform/resolvedwrite.h"
+#include "store/resolvedwrite.h"
 
 #include <random>
 
