Limits: tokens are borrowed among instances; keys move by load; servers are chosen by load

Change: TeamBuckets lend tokens; an owner offloads a part of its keys to a less busy one; ServerChoice weighs what servers say of their load and distance; fewer table conflicts; short relayed watches; late requests of a stopping instance are refused.

--- a/src/ownership/keyholder.cpp
+++ b/src/ownership/keyholder.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr int wholePercent = 100;
+    // A report's answer must stay under 4 KiB, and a grant takes up to 42 bytes.
+    constexpr size_t mostGrants = 90;
     // Handovers are remembered until the table shows the next owner; older ones are dropped.
     constexpr size_t mostReleased = 256;
 
@@ -55,7 +57,8 @@
     if (holdTime <= Milliseconds(0))
         return answer;
     for (const stored::KeyRange& range : table.ranges) {
-        if (range.instance != options_.instance || lifeOf(range) != server_ || !range.target.empty())
+        const bool isOwn = range.instance == options_.instance && lifeOf(range) == server_;
+        if (!isOwn || !range.target.empty() || answer.grants.size() >= mostGrants)
             continue;
         answer.grants.push_back({ range.first, range.last, range.fence, range.handover });
     }
@@ -80,6 +83,9 @@
 {
     if (haveAllGrantsEnded(now))
         return true;
+    // Only the server itself knows what an earlier run of this daemon granted.
+    if (lifeOf(range) != server_)
+        return false;
     const auto touches = [&range](const KeyGrant& grant) { return overlaps(grant, range); };
     return std::none_of(granted_.begin(), granted_.end(), touches)
         && std::none_of(grantedBefore_.begin(), grantedBefore_.end(), touches)
--- a/src/ownership/keytable.cpp
+++ b/src/ownership/keytable.cpp
@@ -12,6 +12,8 @@
 
     // A member without keys is given a part only when it lacks more than this share of the mean.
     constexpr double leastShareOfMean = 0.2;
+    // An owner of so many ranges joins neighbouring ones.
+    constexpr int rangesToJoin = 8;
     constexpr int keyCount = lastKeyNumber + 1;
 
     const KeyMember* findMember(const std::vector<KeyMember>& members, const std::string& instance)
@@ -69,37 +71,70 @@
         return least->first;
     }
 
+    bool isMemberLeaving(const KeyPlanInput& input, const std::string& instance)
+    {
+        const KeyMember* member = findMember(input.members, instance);
+        return member && member->isLeaving;
+    }
+
     bool isMemberTakingKeys(const KeyPlanInput& input, const std::string& instance)
     {
         const KeyMember* member = findMember(input.members, instance);
         return member && member->takesKeys;
     }
 
+    // Who gets the next range: the one that got the last, so that neighbours stay together, until it has more
+    // than the mean, then the least loaded.
+    class Recipients {
+    public:
+        Recipients(const KeyPlanInput& input, Loads loads)
+            : input_(input)
+            , loads_(std::move(loads))
+        {
+            double weight = 0;
+            double slots = 0;
+            for (const stored::KeyRange& range : input.table.ranges)
+                weight += input.weight(range);
+            for (const KeyMember& member : input.members)
+                slots += member.takesKeys ? member.slots : 0;
+            mean_ = weight / std::max(1.0, slots);
+        }
+
+        const KeyMember& next(const stored::KeyRange& range)
+        {
+            if (last_.empty() || loads_[last_] >= mean_)
+                last_ = leastLoaded(loads_);
+            const KeyMember& member = *findMember(input_.members, last_);
+            loads_[last_] += input_.weight(range) / std::max(1, member.slots);
+            return member;
+        }
+
+    private:
+        const KeyPlanInput& input_;
+        Loads loads_;
+        double mean_ = 0;
+        std::string last_;
+    };
+
     // Gives away what has no owner, and marks what has to leave.
-    bool assignRanges(const KeyPlanInput& input, Loads& loads, std::vector<stored::KeyRange>& ranges)
+    bool assignRanges(const KeyPlanInput& input, const Loads& loads, std::vector<stored::KeyRange>& ranges)
     {
+        Recipients recipients(input, loads);
         bool hasChanged = false;
         for (stored::KeyRange& range : ranges) {
-            if (isOwned(range) && input.isLapsed(range.instance)) {
+            if (isOwned(range) && input.isLapsed(range.instance))
                 giveToNobody(range);
-                hasChanged = true;
-            }
-            const bool mustFindOwner = !isOwned(range);
-            const bool mustLeave = !mustFindOwner && !isMemberTakingKeys(input, range.instance)
-                && findMember(input.members, range.instance);
             const bool isTargetGone = !range.target.empty() && !isMemberTakingKeys(input, range.target);
-            if (!mustFindOwner && !(mustLeave && range.target.empty()) && !isTargetGone)
-                continue;
-            if (mustFindOwner || mustLeave) {
-                const std::string to = leastLoaded(loads);
-                const KeyMember& member = *findMember(input.members, to);
-                loads[to] += input.weight(range) / std::max(1, member.slots);
-                if (mustFindOwner)
-                    giveTo(range, member);
-                else
-                    range.target = to;
-            } else {
+            if (!isOwned(range)) {
+                giveTo(range, recipients.next(range));
+            } else if (isMemberLeaving(input, range.instance)) {
+                if (!range.target.empty() && !isTargetGone)
+                    continue;
+                range.target = recipients.next(range).instance;
+            } else if (isTargetGone) {
                 range.target.clear();
+            } else {
+                continue;
             }
             hasChanged = true;
         }
@@ -199,7 +234,7 @@
 
 std::optional<stored::KeyTable> planTable(const KeyPlanInput& input)
 {
-    Loads loads = loadsOf(input);
+    const Loads loads = loadsOf(input);
     if (loads.empty())
         return std::nullopt;
     stored::KeyTable table = input.table;
@@ -209,6 +244,37 @@
     return table;
 }
 
+namespace {
+
+    // Joins neighbouring ranges of one owner under the highest of their fences. Their handovers were taken
+    // when the owner got them.
+    bool joinOwnRanges(
+        std::vector<stored::KeyRange>& ranges, const std::string& instance, const ServerLife& life)
+    {
+        const auto isOwn = [&](const stored::KeyRange& range) {
+            return range.instance == instance && lifeOf(range) == life && range.target.empty();
+        };
+        if (std::count_if(ranges.begin(), ranges.end(), isOwn) < rangesToJoin)
+            return false;
+        bool hasChanged = false;
+        std::vector<stored::KeyRange> joined;
+        for (stored::KeyRange& range : ranges) {
+            const bool isNeighbour = !joined.empty() && isOwn(joined.back()) && isOwn(range);
+            if (isNeighbour) {
+                joined.back().last = range.last;
+                joined.back().fence = std::max(joined.back().fence, range.fence);
+                joined.back().handover.clear();
+                hasChanged = true;
+            } else {
+                joined.push_back(std::move(range));
+            }
+        }
+        ranges = std::move(joined);
+        return hasChanged;
+    }
+
+}
+
 std::optional<stored::KeyTable> settleTable(
     const stored::KeyTable& table, const OwnServer& own, const std::vector<KeyMember>& members)
 {
@@ -233,6 +299,8 @@
             hasChanged = true;
         }
     }
+    if (own.life)
+        hasChanged = joinOwnRanges(settled.ranges, own.instance, *own.life) || hasChanged;
     if (!hasChanged)
         return std::nullopt;
     normalize(settled.ranges);
--- a/src/ownership/keytable.h
+++ b/src/ownership/keytable.h
@@ -24,7 +24,8 @@
 struct KeyMember {
     std::string instance;
     ServerLife server;
-    bool takesKeys = false; // Ready, not leaving, and its availability zone is in.
+    bool takesKeys = false; // May be given more.
+    bool isLeaving = false; // Its ranges are to move away.
     int slots = 1;
 };
 
@@ -74,7 +75,8 @@
 };
 
 // The table after an instance has settled its own ranges: those that its server released go to their targets,
-// those of an earlier life go to the present one or to nobody. Nothing when there is nothing to settle.
+// those of an earlier life go to the present one or to nobody, and neighbours are joined where they are many.
+// Nothing when there is nothing to settle.
 std::optional<stored::KeyTable> settleTable(
     const stored::KeyTable& table, const OwnServer& own, const std::vector<KeyMember>& members);
 
--- a/src/routing/serverchoice.cpp
+++ b/src/routing/serverchoice.cpp
@@ -17,6 +17,10 @@
     // A server that takes so many times the usual latency is an outlier.
     constexpr int outlierFactor = 3;
     constexpr Duration leastOutlierLatency = Milliseconds(2);
+    // How long a server's word on its load is of use.
+    constexpr Milliseconds loadFreshFor { 600 };
+    // How much more a server with all slots taken costs than an idle one.
+    constexpr double fullServerCost = 3;
     constexpr int usualWeight = 32;
     constexpr int hedgeDeviations = 4;
     constexpr Duration leastHedgeDelay = Milliseconds(2);
@@ -62,7 +66,25 @@
     const Observed& observed = observed_[server];
     const Duration latency = decayed(observed.peakLatency, now - observed.lastSample);
     const auto base = static_cast<double>(latency.count() + 1);
-    return base * (observed.inFlight + 1);
+    return base * (observed.inFlight + 1) * loadFactor(observed, now) * observed.distance;
+}
+
+// What the server's own word adds, while it is fresh: work slows down as slots fill up.
+double ServerChoice::loadFactor(const Observed& observed, TimePoint now)
+{
+    if (now - observed.loadAt >= loadFreshFor)
+        return 1;
+    const double busyness = static_cast<double>(observed.load.busy + observed.begunSinceLoad)
+        / static_cast<double>(std::max(1, observed.load.slots));
+    return observed.load.pace * (1 + busyness * busyness * fullServerCost);
+}
+
+void ServerChoice::noteLoad(const InstanceId& server, const Load& load, TimePoint now)
+{
+    Observed& observed = observed_[server];
+    observed.load = load;
+    observed.loadAt = now;
+    observed.begunSinceLoad = 0;
 }
 
 bool ServerChoice::isFit(const InstanceId& server, TimePoint now)
@@ -108,7 +130,9 @@
 
 void ServerChoice::began(const InstanceId& server)
 {
-    ++observed_[server].inFlight;
+    Observed& observed = observed_[server];
+    ++observed.inFlight;
+    ++observed.begunSinceLoad;
 }
 
 void ServerChoice::sample(Observed& observed, Duration latency, TimePoint now)
--- a/src/routing/serverchoice.h
+++ b/src/routing/serverchoice.h
@@ -27,6 +27,18 @@
     // A left-out server whose time for a probe has come.
     std::optional<InstanceId> dueProbe(const std::vector<InstanceId>& servers, TimePoint now);
 
+    // How busy a server said it is: requests that run or wait, its slots, and how long work takes by the
+    // usual.
+    struct Load {
+        int busy = 0;
+        int slots = 1;
+        double pace = 1;
+    };
+    void noteLoad(const InstanceId& server, const Load& load, TimePoint now);
+
+    // By how much the cost of a server rises for its distance; 1 for a near one.
+    void setDistance(const InstanceId& server, double factor) { observed_[server].distance = factor; }
+
     void began(const InstanceId& server);
 
     // The server answered after that time.
@@ -49,10 +61,15 @@
         int failuresInRow = 0;
         int slowInRow = 0; // Samples as an outlier since the last good one.
         TimePoint leftOutUntil;
+        Load load;
+        TimePoint loadAt;
+        int begunSinceLoad = 0; // Requests sent since the load was told.
+        double distance = 1;
         bool isSuspect = false; // Left out, and no good sample since.
     };
 
     double cost(const InstanceId& server, TimePoint now);
+    static double loadFactor(const Observed& observed, TimePoint now);
     bool isFit(const InstanceId& server, TimePoint now);
     // The latency above which a server is an outlier among those seen.
     Duration slowBound() const;
--- a/src/sidecar/fleetdirectory.cpp
+++ b/src/sidecar/fleetdirectory.cpp
@@ -105,8 +105,9 @@
         member.instance = name;
         member.server = { instance.server->id, instance.server->startedMs };
         member.slots = static_cast<int>(instance.server->slots);
-        member.takesKeys = instance.server->readiness == stored::Readiness::Ready && !instance.departing
-            && zonesOut.count(instance.zone) == 0;
+        member.isLeaving = instance.server->readiness != stored::Readiness::Ready || instance.departing
+            || zonesOut.count(instance.zone) > 0;
+        member.takesKeys = !member.isLeaving;
         members.push_back(std::move(member));
     }
     return members;
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -2,7 +2,8 @@
 
 #include "base/logger.h"
 #include "base/random.h"
-#include "sidecar/teamrates.h"
+#include "sidecar/loadboard.h"
+#include "sidecar/teamlimits.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -26,6 +27,19 @@
     // The part of the fleet's reserve of retries that all instances together may use.
     constexpr double reservePart = 0.6;
 
+    // Weight of one sample in the usual latency of a route.
+    constexpr int usualLatencyWeight = 32;
+    constexpr Duration comparedLatency = Milliseconds(100);
+    // A server in another availability zone is worth its way only when it is so much less busy.
+    constexpr double otherZoneCost = 1.25;
+    constexpr double wholePercent = 100;
+
+    ServerChoice::Load loadOf(const peer::ServerLoad& load)
+    {
+        return { static_cast<int>(load.running + load.waiting), static_cast<int>(load.slots),
+            static_cast<double>(load.pacePercent) / wholePercent };
+    }
+
     Milliseconds toMilliseconds(Duration duration)
     {
         return std::chrono::duration_cast<Milliseconds>(duration);
@@ -104,7 +118,15 @@
             timedOut(late);
     });
     budgetOf(passage->routed.service).noteRequest();
-    attempt(passage);
+    options_.limits->charge(
+        passage->routed.team, [this, weak = std::weak_ptr<Passage>(passage)](std::optional<Reply> refusal) {
+            const auto charged = weak.lock();
+            if (!charged || charged->isOver)
+                return;
+            if (refusal)
+                return finish(charged, *std::move(refusal));
+            attempt(charged);
+        });
 }
 
 // Checks the request and fills in where it goes; a refusal is always a certain not-run.
@@ -115,6 +137,8 @@
     if (!head.ok())
         return notRun(RefusalReason::BadRequest, std::string(head.status().message()));
     passage.id = head->requestId;
+    if (isRefusing_)
+        return notRun(RefusalReason::Stopping, "this instance is stopping");
     if (!router_)
         return notRun(RefusalReason::NoConfiguration, "no configuration is in force yet");
     RoutingResult result = router_->route({ received.method, received.target, received.headers });
@@ -130,8 +154,6 @@
     passage.deadline = passage.arrived + patience;
     passage.objectiveEnd = passage.arrived + objective;
     passage.holdEnd = passage.arrived + objective / (routed.partition >= 0 ? keyedHoldPart : holdPart);
-    if (auto refusal = options_.rates->charge(routed.team, BootClock::now()))
-        return refusal;
     peer::ForwardedRequest& request = passage.request;
     request.requestId = passage.id;
     request.service = routed.service;
@@ -192,7 +214,7 @@
     return Target { { range->instance, range->server }, owner->peerAddress };
 }
 
-std::vector<Ingress::Target> Ingress::serversOf(const std::string& service) const
+std::vector<Ingress::Target> Ingress::serversOf(const std::string& service)
 {
     std::vector<Target> targets;
     for (const auto& [name, entry] : options_.directory->instances()) {
@@ -202,6 +224,8 @@
         if (!takesWork)
             continue;
         const bool isLocal = name == options_.settings.name;
+        const bool isNear = instance.zone == options_.settings.zone;
+        choiceOf(service).setDistance({ name, instance.server->id }, isNear ? 1 : otherZoneCost);
         targets.push_back({ { name, instance.server->id }, isLocal ? std::string() : instance.peerAddress });
     }
     return targets;
@@ -261,18 +285,32 @@
 
 void Ingress::noteReply(const Passage& passage, const Target& target, Duration latency, const Reply& reply)
 {
+    const TimePoint now = BootClock::now();
+    if (reply.load)
+        options_.loads->note(target.server.name, *reply.load, now);
     if (passage.routed.partition >= 0)
         return;
     ServerChoice& choice = choiceOf(passage.routed.service);
-    const TimePoint now = BootClock::now();
+    if (reply.load && reply.load->slots > 0)
+        choice.noteLoad(target.server, loadOf(*reply.load), now);
     if (reply.isAnswer)
-        choice.succeeded(target.server, latency, now);
+        choice.succeeded(target.server, asUsual(passage.routed.routeName, latency), now);
     else if (reply.isNotRun() && reply.reason == RefusalReason::QueueFull)
         choice.abandoned(target.server, Duration::zero(), now);
     else
         choice.failed(target.server, now);
 }
 
+// The latency as it would be if all routes took the same time, so that servers can be compared by it.
+Duration Ingress::asUsual(const std::string& route, Duration latency)
+{
+    Duration& usual = usualLatency_[route];
+    usual = usual == Duration::zero() ? latency : usual + (latency - usual) / usualLatencyWeight;
+    const double ratio
+        = static_cast<double>(latency.count()) / static_cast<double>(std::max<int64_t>(1, usual.count()));
+    return Duration(static_cast<int64_t>(ratio * static_cast<double>(comparedLatency.count())));
+}
+
 bool Ingress::mayTryAgain(const Passage& passage, const Reply& reply)
 {
     if (BootClock::now() >= passage.deadline || passage.gates >= mostGates)
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -23,7 +23,8 @@
 
 namespace persimmonfield {
 
-class TeamRates;
+class LoadBoard;
+class TeamLimits;
 
 struct IngressOptions {
     asio::io_context* loop = nullptr;
@@ -33,7 +34,8 @@
     const FleetDirectory* directory = nullptr;
     ServerGate* gate = nullptr;
     PeerCalls* peers = nullptr;
-    TeamRates* rates = nullptr;
+    TeamLimits* limits = nullptr;
+    LoadBoard* loads = nullptr;
 };
 
 // Where requests of callers come in: finds their service and server, sends them there, tries again what
@@ -56,6 +58,9 @@
 
     bool isIdle() const { return open_.empty(); }
 
+    // From now on new requests are refused: the process is about to end.
+    void refuseNew() { isRefusing_ = true; }
+
 private:
     struct Passage;
     using PassagePtr = std::shared_ptr<Passage>;
@@ -69,10 +74,11 @@
     void attempt(const PassagePtr& passage);
     std::optional<Target> chooseTarget(const Passage& passage);
     std::optional<Target> ownerOf(const Passage& passage) const;
-    std::vector<Target> serversOf(const std::string& service) const;
+    std::vector<Target> serversOf(const std::string& service);
     void send(const PassagePtr& passage, const Target& target);
     void replied(const PassagePtr& passage, const Target& target, TimePoint sentAt, Reply reply);
     void noteReply(const Passage& passage, const Target& target, Duration latency, const Reply& reply);
+    Duration asUsual(const std::string& route, Duration latency);
     bool mayTryAgain(const Passage& passage, const Reply& reply);
     void waitOrRefuse(const PassagePtr& passage, Reply reply);
     void timedOut(const PassagePtr& passage);
@@ -85,8 +91,10 @@
     IngressOptions options_;
     std::shared_ptr<const Router> router_;
     std::set<std::string> zonesOut_;
+    bool isRefusing_ = false;
     std::map<std::string, ServerChoice> choices_; // By service.
     std::map<std::string, RetryBudget> budgets_; // By service.
+    std::map<std::string, Duration> usualLatency_; // By route.
     std::list<PassagePtr> open_;
 };
 
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/keyduty.h"
 
 #include "base/logger.h"
+#include "base/random.h"
 #include "sidecar/edges.h"
 
 #include <algorithm>
@@ -16,6 +17,18 @@
     // A first table waits until all who start together have reported.
     constexpr Milliseconds settleTime { 1'500 };
     constexpr Milliseconds tableRetryPause { 300 };
+    // After a write that somebody else's came before: a pause of that time, spread by so many milliseconds.
+    constexpr Milliseconds conflictPause { 20 };
+    constexpr uint64_t conflictSpread = 60;
+    // Instances that live are back within about two seconds of the store's return; leases are not ended
+    // earlier.
+    constexpr Milliseconds returnTime { 2'500 };
+    // A server whose requests, running and waiting, take up this part of its slots gives keys away to one
+    // that is less busy by so much.
+    constexpr double busyServer = 0.6;
+    constexpr double worthMoving = 0.3;
+    // The effect of one move shows before the next.
+    constexpr Milliseconds offloadInterval { 2'000 };
     // Reports that a hold outlasts.
     constexpr int reportsInHold = 3;
 
@@ -36,6 +49,7 @@
     , lease_(options_.settings.name, options_.incarnation, KeyLeaseTiming())
     , leases_(KeyLeaseTiming())
     , holder_(holderOptions(options_.settings))
+    , random_(randomSource())
 {
     holder_.assumeEarlierGrants(BootClock::now());
 }
@@ -117,6 +131,8 @@
 {
     if (result.outcome == WriteOutcome::Applied && result.object) {
         lease_.renewed(result.object->revision);
+        if (!renewingSince_)
+            renewingSince_ = BootClock::now();
         leases_.observe(
             result.object->value.get<stored::KeyLease>(), result.object->revision, BootClock::now());
         if (lease_.needsConfirmation())
@@ -125,6 +141,7 @@
     }
     if (result.outcome != WriteOutcome::Conflict) {
         log(LogLevel::Info, "lease-not-renewed", { { "cause", result.detail } });
+        renewingSince_.reset();
         return lease_.failed();
     }
     std::optional<stored::KeyLease> found;
@@ -193,7 +210,7 @@
 
 void KeyDuty::lapseLeases(TimePoint now)
 {
-    if (now >= grantableUntil())
+    if (now >= grantableUntil() || !renewingSince_ || now - *renewingSince_ < returnTime)
         return;
     for (const KeyLeaseWatch::Expired& expired : leases_.expired(now)) {
         const std::string instance = expired.lease.instance;
@@ -269,6 +286,8 @@
         if (auto table = settled(known->value, now))
             return table;
     }
+    if (auto table = offloaded(known->value, members, now))
+        return table;
     if (!isPlanner(members, now))
         return std::nullopt;
     for (KeyMember& member : members)
@@ -286,13 +305,58 @@
     return planTable({ known->value, std::move(members), isLapsed, weight });
 }
 
+void KeyDuty::noteRequest(int key, TimePoint now)
+{
+    load_.note(key, now);
+    ownBoard_.note(options_.settings.name, options_.ownLoad(), now);
+}
+
+// Where the own server is much busier than another one, a part of its keys moves there.
+std::optional<stored::KeyTable> KeyDuty::offloaded(
+    const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now)
+{
+    const auto own = ownBoard_.busyness(options_.settings.name, now);
+    if (now < nextOffload_ || now >= grantableUntil() || own.value_or(0) < busyServer)
+        return std::nullopt;
+    const KeyMember* idlest = nullptr;
+    double least = *own - worthMoving;
+    for (const KeyMember& member : members) {
+        const auto other = options_.loads->busyness(member.instance, now);
+        const bool isCandidate
+            = member.instance != options_.settings.name && member.takesKeys && other && *other <= least;
+        if (!isCandidate)
+            continue;
+        idlest = &member;
+        least = *other;
+    }
+    if (!idlest)
+        return std::nullopt;
+    nextOffload_ = now + offloadInterval;
+    load_.age(now);
+    auto result
+        = offloadKeys(table, options_.settings.name, load_, (*own - least) / 2 / *own, idlest->instance);
+    if (result)
+        log(LogLevel::Info, "keys-offloaded",
+            { { "to", idlest->instance }, { "ownBusyness", *own }, { "itsBusyness", least } });
+    return result;
+}
+
 void KeyDuty::updateTable()
 {
     if (pendingTable_ || !options_.directory->isLoaded())
         return;
+    const TimePoint now = BootClock::now();
+    if (now < nextTableWrite_) {
+        retryTimer_.expires_after(nextTableWrite_ - now);
+        retryTimer_.async_wait([this](std::error_code error) {
+            if (!error)
+                updateTable();
+        });
+        return;
+    }
     const auto* known = options_.directory->keyTable(options_.settings.service);
     const int64_t revision = known ? known->revision : 0;
-    if (const auto table = dueTable(BootClock::now()))
+    if (const auto table = dueTable(now))
         writeTable(*table, revision, false);
 }
 
@@ -332,11 +396,13 @@
         return confirmRanges();
     if (isConfirmation)
         lease_.confirmed();
-    if (!isApplied)
+    if (!isApplied) {
+        // Somebody else wrote first: let the others write as well before the next try.
         log(LogLevel::Info, "key-table-refused", { { "cause", result.detail } });
+        nextTableWrite_ = BootClock::now() + conflictPause + Milliseconds(random_() % conflictSpread);
+    }
     options_.onChange();
-    if (isApplied)
-        updateTable();
+    updateTable();
 }
 
 }
--- a/src/sidecar/keyduty.h
+++ b/src/sidecar/keyduty.h
@@ -2,7 +2,9 @@
 
 #include "ownership/keyholder.h"
 #include "ownership/keylease.h"
+#include "ownership/keyload.h"
 #include "sidecar/fleetdirectory.h"
+#include "sidecar/loadboard.h"
 #include "sidecar/sidecarsettings.h"
 #include "store/storesession.h"
 
@@ -26,6 +28,8 @@
     FleetDirectory* directory = nullptr;
     std::function<std::optional<ServerLife>()> serverLife;
     std::function<const std::set<std::string>&()> zonesOut;
+    std::function<peer::ServerLoad()> ownLoad;
+    const LoadBoard* loads = nullptr;
     // The key table or the leases have changed by a write of this instance.
     std::function<void()> onChange;
 };
@@ -42,6 +46,9 @@
     KeyAnswer answer(const ServerReport& report);
     bool mayRun(int key, TimePoint now) const { return holder_.mayRun(key, now); }
 
+    // A request for a key of this instance's server has come.
+    void noteRequest(int key, TimePoint now);
+
     // Members, zones or the table have changed.
     void onDirectoryChange();
 
@@ -57,6 +64,8 @@
     void updateTable();
     std::optional<stored::KeyTable> dueTable(TimePoint now);
     std::optional<stored::KeyTable> settled(const stored::KeyTable& table, TimePoint now) const;
+    std::optional<stored::KeyTable> offloaded(
+        const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now);
     bool isPlanner(const std::vector<KeyMember>& members, TimePoint now) const;
     bool mayMakeFirstTable(const std::vector<KeyMember>& members, TimePoint now);
     void writeTable(const stored::KeyTable& table, int64_t expectedRevision, bool isConfirmation);
@@ -71,6 +80,7 @@
     KeyLeaseHolder lease_;
     KeyLeaseWatch leases_;
     KeyHolder holder_;
+    std::function<uint64_t()> random_;
     std::set<std::string> lapsing_; // Instances whose lease is being marked.
     int64_t leasesRevision_ = 0; // Of the last listing that was not stale.
     bool isListing_ = false;
@@ -82,6 +92,11 @@
         bool isConfirmation = false;
     };
     std::optional<PendingTable> pendingTable_;
+    TimePoint nextTableWrite_;
+    KeyLoad load_;
+    LoadBoard ownBoard_; // How busy the own server was, smoothed as that of others.
+    TimePoint nextOffload_;
+    std::optional<TimePoint> renewingSince_; // Since when every renewal of the lease succeeded.
     bool isConfirming_ = false;
     TimePoint nextPoll_;
     size_t lastMemberCount_ = 0;
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -122,6 +122,8 @@
         answer(call, *std::move(reply));
         return id;
     }
+    if (call.request.partition >= 0)
+        options_.onKey(static_cast<int>(call.request.partition), now);
     Duration work = expectedWork(call.request.route);
     if (work == Duration::zero())
         work = (call.objectiveEnd - now) / firstWorkPart;
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -43,6 +43,8 @@
     Counters* counters = nullptr;
     // Whether the server owns the key at present.
     std::function<bool(int key, TimePoint now)> mayRunKey;
+    // A request for an owned key has come.
+    std::function<void(int key, TimePoint now)> onKey;
 };
 
 // The one way to the server beside this instance, and so the place where all that holds for one server is
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -56,7 +56,8 @@
     , secretTimer_(loop)
 {
     gate_ = std::make_unique<ServerGate>(ServerGateOptions { &loop_, &edges_, settings_, &counters_,
-        [this](int key, TimePoint now) { return keys_ && keys_->mayRun(key, now); } });
+        [this](int key, TimePoint now) { return keys_ && keys_->mayRun(key, now); },
+        [this](int key, TimePoint now) { keys_->noteRequest(key, now); } });
     server_ = std::make_unique<ServerDuty>(ServerDutyOptions { &loop_, &edges_, settings_, gate_.get(),
         [this](const ServerReport& report) { return answerKeys(report); },
         [this] {
@@ -78,8 +79,9 @@
     relay_ = std::make_unique<StoreRelay>(loop_, settings_.name, directory_, *network_, transport_);
     peers_ = std::make_unique<PeerCalls>(*network_);
     peerGate_ = std::make_unique<PeerGate>(*gate_, *network_);
-    ingress_ = std::make_unique<Ingress>(IngressOptions {
-        &loop_, &edges_, settings_, &counters_, &directory_, gate_.get(), peers_.get(), &rates_ });
+    limits_ = std::make_unique<TeamLimits>(loop_, settings_.name, directory_, *network_, counters_);
+    ingress_ = std::make_unique<Ingress>(IngressOptions { &loop_, &edges_, settings_, &counters_, &directory_,
+        gate_.get(), peers_.get(), limits_.get(), &loads_ });
     transport_.setReachableHandler(
         [](bool isReachable) { log(LogLevel::Info, isReachable ? "store-regained" : "store-lost", {}); });
 }
@@ -187,7 +189,7 @@
     limits.idleTimeout = current.idleTimeout;
     callers_.setLimits(limits);
     ingress_->setConfiguration(current.configuration);
-    rates_.setConfiguration(current.configuration);
+    limits_->setConfiguration(*current.configuration);
     const auto service = current.configuration->services.find(settings_.service);
     if (service == current.configuration->services.end())
         return;
@@ -197,7 +199,7 @@
     keys_ = std::make_unique<KeyDuty>(KeyDutyOptions { &loop_, settings_, incarnation_, &store_, &directory_,
         [this] { return server_->life(); },
         [this]() -> const std::set<std::string>& { return configuration_.zonesOut(); },
-        [this] { onDirectoryChange(); } });
+        [this] { return gate_->load(); }, &loads_, [this] { onDirectoryChange(); } });
     keys_->start();
 }
 
@@ -210,7 +212,7 @@
 
 void Sidecar::onDirectoryChange()
 {
-    rates_.setInstances(directory_.instances().size());
+    limits_->setInstances(directory_.instances().size());
     if (keys_)
         keys_->onDirectoryChange();
     ingress_->onDirectoryChange();
@@ -238,6 +240,10 @@
         relay_->onCall(link, *message.storeCall);
     else if (message.storeAnswer)
         relay_->onAnswer(link, *message.storeAnswer);
+    else if (message.shareRequest)
+        limits_->onShareRequest(link, *message.shareRequest);
+    else if (message.shareGrant)
+        limits_->onShareGrant(*message.shareGrant);
     else
         log(LogLevel::Warning, "frame-unexpected", { { "link", link } });
 }
@@ -277,6 +283,8 @@
     const bool isTimeUp = passed >= settings_.stopTime - stopMargin;
     // Connections that are still in use are told to go with their next answer.
     callers_.drain();
+    if (passed >= leastStopTime)
+        ingress_->refuseNew();
     if (isTimeUp || (isIdle && passed >= leastStopTime)) {
         log(LogLevel::Info, "stopped", { { "isIdle", isIdle } });
         return onStopped_();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -8,13 +8,14 @@
 #include "sidecar/fleetdirectory.h"
 #include "sidecar/ingress.h"
 #include "sidecar/keyduty.h"
+#include "sidecar/loadboard.h"
 #include "sidecar/peercalls.h"
 #include "sidecar/peergate.h"
 #include "sidecar/serverduty.h"
 #include "sidecar/servergate.h"
 #include "sidecar/sidecarsettings.h"
 #include "sidecar/storerelay.h"
-#include "sidecar/teamrates.h"
+#include "sidecar/teamlimits.h"
 #include "store/storesession.h"
 #include "store/storetransport.h"
 #include "transport/peernetwork.h"
@@ -81,7 +82,8 @@
     std::unique_ptr<StoreRelay> relay_;
     std::unique_ptr<PeerCalls> peers_;
     std::unique_ptr<PeerGate> peerGate_;
-    TeamRates rates_;
+    std::unique_ptr<TeamLimits> limits_;
+    LoadBoard loads_;
     std::unique_ptr<ServerGate> gate_;
     std::unique_ptr<KeyDuty> keys_; // Where the service is divided by key.
     std::unique_ptr<ServerDuty> server_;
--- /dev/null
+++ b/src/sidecar/teamlimits.cpp
@@ -0,0 +1,203 @@
+#include "sidecar/teamlimits.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+namespace {
+
+    // A request waits no longer for borrowed tokens.
+    constexpr Milliseconds longestWait { 60 };
+    // An instance that did not answer by then is passed over.
+    constexpr Milliseconds answerPatience { 40 };
+    constexpr Milliseconds timerInterval { 20 };
+    // Instances asked at the same time.
+    constexpr size_t mostAsked = 2;
+    // After all instances said that they have none, nobody is asked for so long.
+    constexpr Milliseconds dryPause { 100 };
+    // An instance about which nothing is known may have so many.
+    constexpr double assumedLevel = 1.5;
+    constexpr double nanosecondsPerSecond = 1e9;
+
+}
+
+TeamLimits::TeamLimits(asio::io_context& loop, const std::string& self, const FleetDirectory& directory,
+    PeerNetwork& network, Counters& counters)
+    : loop_(loop)
+    , self_(self)
+    , directory_(directory)
+    , network_(network)
+    , counters_(counters)
+    , timer_(loop)
+{
+}
+
+void TeamLimits::setConfiguration(const Configuration& configuration)
+{
+    std::map<std::string, TeamRate> rates;
+    for (const auto& [name, team] : configuration.teams) {
+        if (team.ratePerSecond > 0)
+            rates[name] = { team.ratePerSecond, team.burst };
+    }
+    buckets_.setRates(std::move(rates));
+}
+
+void TeamLimits::charge(const std::string& team, const Done& done)
+{
+    const TimePoint now = BootClock::now();
+    Team& state = teams_[team];
+    const bool isFirst = state.waiting.empty();
+    if (isFirst && buckets_.trySpend(team, now)) {
+        done(std::nullopt);
+        if (buckets_.shortage(team, now) > 0 && now >= state.dryUntil)
+            borrow(team, state, now);
+        return;
+    }
+    if (now < state.dryUntil)
+        return done(refusal(team, state));
+    state.waiting.push_back({ done, now + longestWait });
+    borrow(team, state, now);
+    armTimer();
+}
+
+// Asks further instances while some are left that may have tokens.
+void TeamLimits::borrow(const std::string& name, Team& team, TimePoint now)
+{
+    for (auto asked = team.asked.begin(); asked != team.asked.end();) {
+        const bool isSilent = now - asked->second >= answerPatience;
+        if (isSilent)
+            team.lenders[asked->first] = { 0, now };
+        asked = isSilent ? team.asked.erase(asked) : std::next(asked);
+    }
+    while (team.asked.size() < mostAsked) {
+        const std::string lender = richestLender(name, team, now);
+        if (lender.empty())
+            break;
+        peer::PeerMessage message;
+        message.shareRequest = peer::ShareRequest {};
+        peer::ShareRequest& request = *message.shareRequest;
+        request.team = name;
+        request.instance.name = self_;
+        request.sequence = ++team.sequence;
+        request.wanted = static_cast<int64_t>(team.waiting.size()) + buckets_.shortage(name, now);
+        const LinkId link = network_.linkTo(directory_.instance(lender)->peerAddress);
+        if (link == 0 || !network_.send(link, { message, {} }))
+            team.lenders[lender] = { 0, now };
+        else
+            team.asked[lender] = now;
+        counters_.counter("team_tokens_asked_total")++;
+    }
+    if (team.asked.empty() && !team.waiting.empty()) {
+        team.dryUntil = now + dryPause;
+        refuseWaiting(name, team, now, true);
+    }
+}
+
+// The instance that seems to have most tokens; empty when none seems to have a whole one.
+std::string TeamLimits::richestLender(const std::string& name, const Team& team, TimePoint now) const
+{
+    const double perSecond = 1000.0
+        / static_cast<double>(std::max<int64_t>(1, buckets_.refillTime(name, 1).count()))
+        / static_cast<double>(std::max<size_t>(1, directory_.instances().size()));
+    std::string richest;
+    double most = 1;
+    for (const auto& [instance, entry] : directory_.instances()) {
+        if (instance == self_ || entry.value.departing || team.asked.count(instance) > 0)
+            continue;
+        const auto known = team.lenders.find(instance);
+        double level = assumedLevel;
+        if (known != team.lenders.end())
+            level = known->second.level
+                + perSecond * static_cast<double>((now - known->second.seenAt).count())
+                    / nanosecondsPerSecond;
+        if (level < most)
+            continue;
+        most = level;
+        richest = instance;
+    }
+    return richest;
+}
+
+void TeamLimits::onShareRequest(LinkId link, const peer::ShareRequest& request)
+{
+    const TimePoint now = BootClock::now();
+    peer::PeerMessage message;
+    message.shareGrant = peer::ShareGrant {};
+    peer::ShareGrant& grant = *message.shareGrant;
+    grant.team = request.team;
+    grant.home.name = self_;
+    grant.sequence = request.sequence;
+    grant.tokens = buckets_.lend(request.team, request.wanted, now);
+    network_.send(link, { message, {} });
+}
+
+void TeamLimits::onShareGrant(const peer::ShareGrant& grant)
+{
+    const TimePoint now = BootClock::now();
+    const auto found = teams_.find(grant.team);
+    if (found == teams_.end())
+        return;
+    Team& team = found->second;
+    team.asked.erase(grant.home.name);
+    // One that gave less than was wanted has no more; one that gave all may have.
+    team.lenders[grant.home.name] = { grant.tokens > 0 ? assumedLevel : 0.0, now };
+    buckets_.add(grant.team, grant.tokens, now);
+    serveWaiting(grant.team, team, now);
+    if (!team.waiting.empty())
+        borrow(grant.team, team, now);
+}
+
+void TeamLimits::serveWaiting(const std::string& name, Team& team, TimePoint now)
+{
+    while (!team.waiting.empty() && buckets_.trySpend(name, now)) {
+        const Done done = std::move(team.waiting.front().done);
+        team.waiting.pop_front();
+        done(std::nullopt);
+    }
+}
+
+void TeamLimits::refuseWaiting(const std::string& name, Team& team, TimePoint now, bool isAll)
+{
+    std::vector<Done> refused;
+    while (!team.waiting.empty() && (isAll || team.waiting.front().until <= now)) {
+        refused.push_back(std::move(team.waiting.front().done));
+        team.waiting.pop_front();
+    }
+    for (const Done& done : refused)
+        done(refusal(name, team));
+}
+
+Reply TeamLimits::refusal(const std::string& name, const Team& team) const
+{
+    Reply reply = notRun(RefusalReason::RateExceeded, "the team's rate is used up");
+    reply.retryAfter = buckets_.refillTime(name, static_cast<int64_t>(team.waiting.size()) + 1) + dryPause;
+    return reply;
+}
+
+void TeamLimits::armTimer()
+{
+    if (std::exchange(isTimerArmed_, true))
+        return;
+    timer_.expires_after(timerInterval);
+    timer_.async_wait([this](std::error_code error) {
+        isTimerArmed_ = false;
+        if (error)
+            return;
+        const TimePoint now = BootClock::now();
+        bool isWaiting = false;
+        for (auto& [name, team] : teams_) {
+            if (team.waiting.empty())
+                continue;
+            serveWaiting(name, team, now);
+            refuseWaiting(name, team, now, false);
+            if (!team.waiting.empty())
+                borrow(name, team, now);
+            isWaiting = isWaiting || !team.waiting.empty();
+        }
+        if (isWaiting)
+            armTimer();
+    });
+}
+
+}
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -22,6 +22,8 @@
     constexpr Milliseconds callTimeout { 1'500 };
     // A waiting watch is one call; the store ends it after 30 s at most.
     constexpr Milliseconds watchWait { 25'000 };
+    // Through another instance, whose own way to the store may end meanwhile.
+    constexpr Milliseconds relayedWatchWait { 500 };
     constexpr Milliseconds firstPause { 100 };
     constexpr Milliseconds longestPause { 800 };
 
@@ -162,7 +164,8 @@
 
 void StoreSession::fetchEvents(const std::string& kind, int64_t afterRevision, const PageDone& done)
 {
-    transport_.call(dialect_.watch(kind, afterRevision, watchWait), watchWait + callTimeout,
+    const Milliseconds wait = transport_.isReachable() ? watchWait : relayedWatchWait;
+    transport_.callWaiting(dialect_.watch(kind, afterRevision, wait), wait + callTimeout,
         [this, kind, done](const CallResult& result) {
             if (absl::Status status = statusOf(result); !status.ok())
                 return done(std::move(status));
--- a/src/store/storetransport.cpp
+++ b/src/store/storetransport.cpp
@@ -46,6 +46,13 @@
     });
 }
 
+void StoreTransport::callWaiting(const HttpRequest& request, Duration timeout, const Done& done)
+{
+    if (isReachable_)
+        return callDirectly(request, timeout, done);
+    call(request, timeout, done);
+}
+
 bool StoreTransport::callForOther(const HttpRequest& request, Duration timeout, const Done& done)
 {
     if (!isReachable_)
--- a/src/store/storetransport.h
+++ b/src/store/storetransport.h
@@ -24,6 +24,10 @@
     // Calls the store; `done` is called once, after the return.
     void call(const HttpRequest& request, Duration timeout, const Done& done);
 
+    // The same for a call that waits long: it is not handed on after it failed, since another instance must
+    // not be kept waiting as long.
+    void callWaiting(const HttpRequest& request, Duration timeout, const Done& done);
+
     // Calls the store straight only, for another instance; false when this one is turned away itself.
     bool callForOther(const HttpRequest& request, Duration timeout, const Done& done);
 
