--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -32,15 +32,15 @@
 struct RouteConfig {
     std::string name;
     std::string service; // Empty when `targets` share the requests.
-    std::vector<RouteTarget> targets;
     std::vector<std::string> pathSegments; // "{key}" takes the key, a last "*" takes any rest.
-    std::string host; // Where set, host and pathPrefix select the route in place of pathSegments.
-    std::string pathPrefix; // Begins and ends with a slash; the longest one that matches wins.
     std::string keyHeader; // Empty when the key comes from the path.
     std::vector<std::string> methods; // Empty for all methods.
     std::vector<std::string> teams; // Empty for all teams.
     bool isOpen = false;
     bool isIdempotent = false;
+    std::vector<RouteTarget> targets;
+    std::string host; // Where set, host and pathPrefix select the route in place of pathSegments.
+    std::string pathPrefix; // Begins and ends with a slash; the longest one that matches wins.
     Milliseconds timeout { 0 }; // The longest time that a caller is kept waiting; 0 for no bound.
     Milliseconds objective { 0 }; // The time within which an answer has its full worth; 0 when not known.
     int priority = 0; // 0 is the most urgent.
--- /dev/null
+++ b/tests/http/http.cpp
@@ -0,0 +1,271 @@
+// The event-driven HTTP server and client against raw sockets on loopback.
+
+#include "http/httpclient.h"
+#include "http/httpserver.h"
+
+#include <asio/connect.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+namespace {
+
+const Address serverAddress { "127.0.0.1", 18'751 };
+const Address rawAddress { "127.0.0.1", 18'752 };
+constexpr Milliseconds longTime { 10'000 };
+
+// Runs the loop until the condition holds; false when it never does.
+bool runUntil(asio::io_context& loop, const std::function<bool()>& condition)
+{
+    const TimePoint end = BootClock::now() + longTime;
+    while (!condition() && BootClock::now() < end) {
+        loop.restart();
+        loop.run_one_for(Milliseconds(20));
+    }
+    return condition();
+}
+
+// A peer that says just what a test tells it to say.
+class RawPeer {
+public:
+    explicit RawPeer(asio::io_context& loop)
+        : socket_(loop)
+    {
+    }
+
+    void connect(const Address& address)
+    {
+        socket_.connect({ asio::ip::make_address(address.host), static_cast<uint16_t>(address.port) });
+        read();
+    }
+
+    void accept(asio::ip::tcp::acceptor& acceptor, std::string answer, bool shouldClose)
+    {
+        acceptor.async_accept(
+            socket_, [this, answer = std::move(answer), shouldClose](std::error_code error) {
+                if (error)
+                    return;
+                answer_ = answer;
+                shouldClose_ = shouldClose;
+                read();
+            });
+    }
+
+    void send(const std::string& text) { asio::write(socket_, asio::buffer(text)); }
+    void close() { socket_.close(); }
+    const std::string& received() const { return received_; }
+    bool isClosed() const { return isClosed_; }
+
+private:
+    void read()
+    {
+        socket_.async_read_some(asio::buffer(chunk_), [this](std::error_code error, size_t size) {
+            received_.append(chunk_.data(), size);
+            if (error) {
+                isClosed_ = true;
+                return;
+            }
+            if (!answer_.empty() && received_.find("\r\n\r\n") != std::string::npos) {
+                send(std::exchange(answer_, {}));
+                if (shouldClose_)
+                    return close();
+            }
+            read();
+        });
+    }
+
+    asio::ip::tcp::socket socket_;
+    std::array<char, 4'096> chunk_ {};
+    std::string received_;
+    std::string answer_;
+    bool shouldClose_ = false;
+    bool isClosed_ = false;
+};
+
+HttpResponse answerWith(const std::string& body)
+{
+    HttpResponse response;
+    response.status = 200;
+    response.body = body;
+    return response;
+}
+
+size_t countOf(const std::string& text, const std::string& part)
+{
+    size_t count = 0;
+    for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+}
+
+TEST_GROUP(HttpServer)
+{
+    asio::io_context loop { 1 };
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    HttpServer server { loop, [this](const auto& exchange) { exchanges.push_back(exchange); } };
+    RawPeer caller { loop };
+
+    void setup() override
+    {
+        CHECK(server.listen(serverAddress).ok());
+        caller.connect(serverAddress);
+    }
+};
+
+TEST(HttpServer, RequestsSentAheadAreAnsweredInTheirOrder)
+{
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(runUntil(loop, [this] { return exchanges.size() == 2; }));
+    exchanges[1]->respond(answerWith("second"));
+    exchanges[0]->respond(answerWith("first"));
+    CHECK(runUntil(loop, [this] { return caller.received().find("second") != std::string::npos; }));
+    CHECK(caller.received().find("first") < caller.received().find("second"));
+}
+
+TEST(HttpServer, BodiesComeWithALengthOrInChunks)
+{
+    caller.send(
+        "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+        "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    CHECK(runUntil(loop, [this] { return exchanges.size() == 2; }));
+    STRCMP_EQUAL("hello", exchanges[0]->request().body.c_str());
+    STRCMP_EQUAL("abcde", exchanges[1]->request().body.c_str());
+}
+
+TEST(HttpServer, ACallersLeavingIsToldWhileItsRequestWaits)
+{
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(runUntil(loop, [this] { return exchanges.size() == 1; }));
+    bool hasLeft = false;
+    exchanges[0]->setLeaveHandler([&hasLeft] { hasLeft = true; });
+    caller.close();
+    CHECK(runUntil(loop, [&hasLeft] { return hasLeft; }));
+}
+
+TEST(HttpServer, LimitsAreKept)
+{
+    HttpServerLimits limits;
+    limits.headerBytes = 512;
+    server.setLimits(limits);
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\nLong: " + std::string(1'000, 'x') + "\r\n\r\n");
+    CHECK(runUntil(loop, [this] { return caller.isClosed(); }));
+    CHECK(caller.received().find("HTTP/1.1 431") == 0);
+}
+
+TEST(HttpServer, ADrainingServerClosesAfterTheAnswer)
+{
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(runUntil(loop, [this] { return exchanges.size() == 1; }));
+    server.drain();
+    exchanges[0]->respond(answerWith("last"));
+    CHECK(runUntil(loop, [this] { return caller.isClosed(); }));
+    CHECK(caller.received().find("Connection: close") != std::string::npos);
+    LONGS_EQUAL(1, countOf(caller.received(), "last"));
+}
+
+TEST_GROUP(HttpClient)
+{
+    asio::io_context loop { 1 };
+    asio::ip::tcp::acceptor acceptor { loop,
+        { asio::ip::make_address(rawAddress.host), static_cast<uint16_t>(rawAddress.port) } };
+    RawPeer peer { loop };
+    std::optional<CallResult> result;
+
+    HttpClientOptions optionsFor(const Address& address) const
+    {
+        HttpClientOptions options;
+        options.address = address;
+        options.isAnswerTo = [](const HttpRequest& request, const HttpResponse& response) {
+            const std::string* id = response.header("Id");
+            return !id || *id == *request.header("Id");
+        };
+        return options;
+    }
+
+    CallResult callAgainst(const std::string& answer, bool shouldClose)
+    {
+        HttpClient client(loop, optionsFor(rawAddress));
+        peer.accept(acceptor, answer, shouldClose);
+        call(client);
+        CHECK(runUntil(loop, [this] { return result.has_value(); }));
+        return *result;
+    }
+
+    void call(HttpClient & client)
+    {
+        client.call({ "GET", "/", { { "Id", "mine" } }, {} }, Milliseconds(300),
+            [this](CallResult ended) { result = std::move(ended); });
+    }
+};
+
+TEST(HttpClient, AnAnswerWithoutALengthEndsWithItsConnection)
+{
+    const CallResult ended = callAgainst("HTTP/1.1 200 OK\r\nId: mine\r\n\r\nwhole", true);
+    CHECK(ended.outcome == CallOutcome::Answered);
+    STRCMP_EQUAL("whole", ended.response.body.c_str());
+}
+
+TEST(HttpClient, AnAnswerThatIsCutIsLost)
+{
+    const CallResult ended = callAgainst("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true);
+    CHECK(ended.outcome == CallOutcome::Lost);
+}
+
+TEST(HttpClient, ALateAnswerToAnotherRequestIsPassedOver)
+{
+    const CallResult ended = callAgainst("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother"
+                                         "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 4\r\n\r\nmine",
+        false);
+    CHECK(ended.outcome == CallOutcome::Answered);
+    STRCMP_EQUAL("mine", ended.response.body.c_str());
+}
+
+TEST(HttpClient, WhatIsNoAnswerIsLost)
+{
+    CHECK(callAgainst("this is no answer\r\n\r\n", false).outcome == CallOutcome::Lost);
+}
+
+TEST(HttpClient, SilenceEndsAtTheTimeout)
+{
+    CHECK(callAgainst({}, false).outcome == CallOutcome::TimedOut);
+}
+
+TEST(HttpClient, ARefusedConnectionCarriedNothing)
+{
+    HttpClient client(loop, optionsFor({ "127.0.0.1", 1 }));
+    call(client);
+    CHECK(runUntil(loop, [this] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::NotSent);
+}
+
+TEST(HttpClient, AConnectionIsKeptUnlessItCarriedMoreThanItsAnswer)
+{
+    HttpClient client(loop, optionsFor(rawAddress));
+    peer.accept(acceptor, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", false);
+    call(client);
+    CHECK(runUntil(loop, [this] { return result.has_value(); }));
+    CHECK(runUntil(loop, [this] { return peer.isClosed(); }));
+    LONGS_EQUAL(1, client.connectionsOpened());
+}
+
+TEST(HttpClient, ACancelledCallClosesItsConnection)
+{
+    HttpClient client(loop, optionsFor(rawAddress));
+    peer.accept(acceptor, {}, false);
+    const auto id = client.call({ "GET", "/", { { "Id", "mine" } }, {} }, longTime,
+        [this](CallResult ended) { result = std::move(ended); });
+    CHECK(runUntil(loop, [this] { return !peer.received().empty(); }));
+    client.cancel(id);
+    CHECK(runUntil(loop, [this] { return peer.isClosed(); }));
+    CHECK(!result.has_value());
+}
--- /dev/null
+++ b/tests/limits/teambuckets.cpp
@@ -0,0 +1,99 @@
+// Token buckets of several instances that lend to one another. The oracle is one plain token bucket over all
+// admissions: whatever is lent, lost or restarted, the fleet admits no more than burst + rate * window.
+
+#include "limits/teambuckets.h"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+const std::string team = "team";
+
+TeamBuckets bucketsFor(const TeamRate& rate, size_t instances)
+{
+    TeamBuckets buckets;
+    buckets.setRates({ { team, rate } });
+    buckets.setInstances(instances);
+    return buckets;
+}
+
+}
+
+TEST_GROUP(TeamBuckets) {};
+
+TEST(TeamBuckets, TheFleetAdmitsNoMoreThanBurstAndRateWhateverIsLent)
+{
+    const bool isTrue = rc::check("admissions stay below one plain bucket", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        const TeamRate rate { 5 + static_cast<int64_t>(random() % 100),
+            5 + static_cast<int64_t>(random() % 100) };
+        const size_t instances = 2 + random() % 8;
+        std::vector<TeamBuckets> fleet(instances, bucketsFor(rate, instances));
+        // A bucket holds a whole token at least, begins with one, and keeps a stock of three.
+        const double slack = 4.0 * static_cast<double>(instances);
+        TimePoint now = start;
+        int64_t admitted = 0;
+        for (int step = 0; step < 2'000; ++step) {
+            now += Milliseconds(random() % 20);
+            TeamBuckets& one = fleet[random() % instances];
+            if (random() % 3 == 0) {
+                const int64_t lent = fleet[random() % instances].lend(team, 1 + random() % 5, now);
+                // Some grants are lost on their way.
+                if (random() % 5 != 0)
+                    one.add(team, lent, now);
+            }
+            admitted += one.trySpend(team, now) ? 1 : 0;
+            const double seconds = std::chrono::duration<double>(now - start).count();
+            RC_ASSERT(static_cast<double>(admitted)
+                <= static_cast<double>(rate.burst) + seconds * static_cast<double>(rate.perSecond) + slack);
+        }
+    });
+    CHECK(isTrue);
+}
+
+TEST(TeamBuckets, ATeamAtOneInstanceGetsTheWholeRateByBorrowing)
+{
+    const TeamRate rate { 90, 90 };
+    std::vector<TeamBuckets> fleet(9, bucketsFor(rate, 9));
+    int64_t admitted = 0;
+    for (TimePoint now = start; now < start + std::chrono::seconds(10); now += Milliseconds(10)) {
+        if (!fleet[0].trySpend(team, now)) {
+            for (size_t lender = 1; lender < fleet.size(); ++lender)
+                fleet[0].add(team, fleet[lender].lend(team, 1, now), now);
+            admitted += fleet[0].trySpend(team, now) ? 1 : 0;
+        } else {
+            ++admitted;
+        }
+    }
+    // 1,000 requests in ten seconds; a ninth of the rate alone would admit about 110.
+    CHECK(admitted >= 850);
+}
+
+TEST(TeamBuckets, ATeamWithoutARateIsNeverRefused)
+{
+    TeamBuckets buckets;
+    for (int i = 0; i < 1'000; ++i)
+        CHECK(buckets.trySpend("free", start));
+}
+
+TEST(TeamBuckets, ALoweredRateTakesTheStockWithIt)
+{
+    TeamBuckets buckets = bucketsFor({ 1'000, 1'000 }, 1);
+    buckets.trySpend(team, start);
+    const TimePoint later = start + std::chrono::seconds(2);
+    CHECK(buckets.trySpend(team, later));
+    buckets.setRates({ { team, { 1, 2 } } });
+    int64_t admitted = 0;
+    while (buckets.trySpend(team, later))
+        ++admitted;
+    CHECK(admitted <= 5);
+}
--- /dev/null
+++ b/tests/platform/wire.cpp
@@ -0,0 +1,257 @@
+// The adapter: what the platform says, read into our own types, and our decisions in the platform's words.
+
+#include "configurationwire.h"
+#include "duration.h"
+#include "platformsettings.h"
+#include "reportwire.h"
+#include "requestwire.h"
+#include "storewire.h"
+
+#include "base/hashing.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+namespace {
+
+const char* const settingsText = R"([instance]
+name = side-1
+zone = a
+service = gallery
+caller-address = 10.1.0.26:8548
+report-address = 10.1.0.26:8540
+readiness-address = 10.1.0.26:8546
+host = 10.1.0.26
+internal-ports = 7000,7015
+server-address = 10.1.0.26:8547
+store-address = 10.200.1.7:8545
+report-interval = 870ms
+
+[bounds]
+drain = 2000ms
+grace = 6s
+retryBudgetRatio = 0.2
+somethingNew = 1
+)";
+
+HttpRequest put(const std::string& body)
+{
+    return { "PUT", "/instances/i-1", {}, body };
+}
+
+}
+
+TEST_GROUP(Duration) {};
+
+TEST(Duration, TimesCarryTheirUnit)
+{
+    LONGS_EQUAL(1'500, platform::parseDuration("1500ms")->count());
+    LONGS_EQUAL(2'500, platform::parseDuration("2.5s")->count());
+    for (const char* text : { "", "5", "ms", "1m", "nans", "1 h" })
+        CHECK(!platform::parseDuration(text).has_value());
+}
+
+TEST_GROUP(PlatformSettings) {};
+
+TEST(PlatformSettings, AreReadFromTheFilledInTemplate)
+{
+    const auto read = platform::readSettings({ "node.conf", settingsText });
+    CHECK(read.errors.empty());
+    STRCMP_EQUAL("side-1", read.settings.name.c_str());
+    LONGS_EQUAL(870, read.settings.reportInterval.count());
+    STRCMP_EQUAL("10.1.0.26:7000", read.settings.peerAddress.text().c_str());
+    LONGS_EQUAL(6'000, read.settings.stopTime.count());
+}
+
+TEST(PlatformSettings, AnErrorNamesFileLineAndCause)
+{
+    std::string text = settingsText;
+    text.replace(text.find("870ms"), 5, "often");
+    const auto read = platform::readSettings({ "node.conf", text });
+    LONGS_EQUAL(1, read.errors.size());
+    STRCMP_EQUAL("node.conf", read.errors.front().file.c_str());
+    LONGS_EQUAL(12, read.errors.front().line);
+    CHECK(read.errors.front().cause.find("report-interval") != std::string::npos);
+}
+
+TEST(PlatformSettings, AMissingOneIsNamed)
+{
+    std::string text = settingsText;
+    text.erase(text.find("name = side-1\n"), std::string("name = side-1\n").size());
+    const auto read = platform::readSettings({ "node.conf", text });
+    LONGS_EQUAL(1, read.errors.size());
+    CHECK(read.errors.front().cause.find("instance.name") != std::string::npos);
+}
+
+TEST_GROUP(RequestWire)
+{
+    Edges edges;
+
+    void setup() override
+    {
+        platform::addRequestEdges(edges);
+    }
+};
+
+TEST(RequestWire, ARefusalPromisesOnlyWhatIsTrue)
+{
+    Reply mayHaveRun = unknownOutcome(RefusalReason::LinkLost);
+    LONGS_EQUAL(502, edges.writeReply(mayHaveRun, "id").status);
+    mayHaveRun.reason = RefusalReason::DeadlinePassed;
+    LONGS_EQUAL(504, edges.writeReply(mayHaveRun, "id").status);
+    Reply busy = notRun(RefusalReason::QueueFull);
+    busy.retryAfter = Milliseconds(250);
+    const HttpResponse response = edges.writeReply(busy, "id");
+    LONGS_EQUAL(503, response.status);
+    STRCMP_EQUAL("0.250", response.header("Retry-After")->c_str());
+    LONGS_EQUAL(429, edges.writeReply(notRun(RefusalReason::RateExceeded), "id").status);
+    LONGS_EQUAL(401, edges.writeReply(notRun(RefusalReason::UnknownKey), "id").status);
+    LONGS_EQUAL(404, edges.writeReply(notRun(RefusalReason::NoRoute), "id").status);
+}
+
+TEST(RequestWire, TheServerIsToldWhoAsksAndWhoMustRunIt)
+{
+    peer::ForwardedRequest request {};
+    request.requestId = "id";
+    request.method = "GET";
+    request.target = "/x";
+    request.team = "team";
+    request.callerService = "orders";
+    request.partition = 7;
+    request.key = "7";
+    const HttpRequest sent = edges.writeToServer(request, {}, { "i-1", 5 }, Milliseconds(900));
+    STRCMP_EQUAL("id", sent.header("Persimmonfield-Request-Id")->c_str());
+    STRCMP_EQUAL("900", sent.header("Persimmonfield-Deadline-Ms")->c_str());
+    STRCMP_EQUAL("i-1", sent.header("Persimmonfield-Expect-Instance")->c_str());
+    STRCMP_EQUAL("team", sent.header("Persimmonfield-Tenant")->c_str());
+    STRCMP_EQUAL("orders", sent.header("Persimmonfield-Caller-Service")->c_str());
+    STRCMP_EQUAL("7", sent.header("Persimmonfield-Shard-Key")->c_str());
+}
+
+TEST(RequestWire, OnlyTheServersOwnWordMakesAnAnswerANotRun)
+{
+    CHECK(edges.readFromServer({ 503, { { "Persimmonfield-Not-Executed", "1" } }, {} }).isNotRun);
+    CHECK(edges.readFromServer({ 421, {}, {} }).isNotRun);
+    CHECK(!edges.readFromServer({ 503, {}, {} }).isNotRun);
+    const auto head = edges.readFromServer({ 200, { { "Persimmonfield-Server-Load", "3,1,12,140" } }, {} });
+    LONGS_EQUAL(140, head.load->pacePercent);
+    CHECK(!edges.readFromServer({ 200, { { "Persimmonfield-Server-Load", "x" } }, {} }).load.has_value());
+}
+
+TEST(RequestWire, AnUnreadablePatienceIsAnError)
+{
+    HttpRequest request;
+    request.headers = { { "Persimmonfield-Deadline-Ms", "soon" } };
+    CHECK(!edges.readCaller(request).ok());
+}
+
+TEST_GROUP(ReportWire)
+{
+    Edges edges;
+
+    void setup() override
+    {
+        platform::addReportEdges(edges);
+    }
+};
+
+TEST(ReportWire, AReportIsReadWhole)
+{
+    const auto message = edges.readReport(put(
+        R"({"service":"s","address":"1.2.3.4:5","zone":"a","version":"v1","slots":9,"state":"draining","warmupLeft":"1.5s","sequence":4,"born":17,"holds":[[0,4095,7]],"released":[[4096,8191,"5c0e"]]})"));
+    CHECK(message.ok());
+    const auto& report = std::get<ServerReport>(*message);
+    STRCMP_EQUAL("i-1", report.life.id.c_str());
+    LONGS_EQUAL(17, report.life.startedMs);
+    CHECK(report.isDraining);
+    LONGS_EQUAL(1'500, report.coldFor.count());
+    LONGS_EQUAL(7, report.holds.front().fence);
+    STRCMP_EQUAL("5c0e", report.released.front().handover.c_str());
+}
+
+TEST(ReportWire, ReportsOfStrangeWritersNameNoServer)
+{
+    for (const char* body : { "", "no json", "[]", "{}", R"({"service":1})",
+             R"({"service":"s","slots":9,"state":"asleep","sequence":1})",
+             R"({"service":"s","slots":0,"state":"ready","sequence":1})",
+             R"({"service":"s","slots":9,"state":"ready","sequence":1.5})",
+             R"({"service":"s","slots":9,"state":"ready","sequence":1,"holds":[[1,2]]})",
+             R"({"service":"s","slots":9,"state":"ready","sequence":1,"warmupLeft":"x"})" })
+        CHECK(!edges.readReport(put(body)).ok());
+    CHECK(!edges.readReport({ "PUT", "/instances/", {}, "{}" }).ok());
+    CHECK(std::holds_alternative<ServerLeave>(*edges.readReport({ "DELETE", "/instances/i-1", {}, {} })));
+}
+
+TEST(ReportWire, AnAnswerThatRenewsNothingNamesNoHolds)
+{
+    ServerReportAnswer answer;
+    STRCMP_EQUAL("{}", edges.writeReportAnswer(answer).body.c_str());
+    answer.keys = KeyAnswer { { { 0, 9, 3, "h" } }, Milliseconds(2'610) };
+    STRCMP_EQUAL(
+        R"({"hold_time":"2610ms","holds":[[0,9,3,"h"]]})", edges.writeReportAnswer(answer).body.c_str());
+    answer.isAccepted = false;
+    LONGS_EQUAL(400, edges.writeReportAnswer(answer).status);
+}
+
+TEST_GROUP(StoreWire)
+{
+    const StoreDialect dialect = platform::storeDialect();
+};
+
+TEST(StoreWire, AWriteCreatesOrReplacesUnderACondition)
+{
+    const HttpRequest create = dialect.write({ "kind", "n", { { "a", 1 } }, 0 });
+    STRCMP_EQUAL("POST", create.method.c_str());
+    STRCMP_EQUAL("/objects/kind", create.target.c_str());
+    const HttpRequest replace = dialect.write({ "kind", "n", { { "a", 1 } }, 12 });
+    STRCMP_EQUAL("/objects/kind/n", replace.target.c_str());
+    CHECK(replace.body.find("\"revision\":12") != std::string::npos);
+}
+
+TEST(StoreWire, PagesAndEventsAreRead)
+{
+    const auto page = dialect.readPage("kind",
+        R"({"items":[{"metadata":{"name":"n","revision":3},"spec":{"a":1},"status":null}],"hasMore":true,"atRev":9})");
+    CHECK(page->hasMore);
+    LONGS_EQUAL(9, page->revision);
+    LONGS_EQUAL(3, page->objects.front().revision);
+    const auto events = dialect.readEvents("kind",
+        R"({"events":[{"object":{"metadata":{"name":"n","revision":4},"spec":1},"deleted":true}],"atRev":10})");
+    CHECK(events->objects.front().isDeleted);
+    CHECK(!dialect.readPage("kind", "no json").ok());
+    CHECK(!dialect.readObject("kind", "{}").ok());
+}
+
+TEST_GROUP(ConfigurationWire)
+{
+    Edges edges;
+
+    void setup() override
+    {
+        platform::addConfigurationEdges(edges);
+    }
+};
+
+TEST(ConfigurationWire, TheOperatorsObjectBecomesAConfiguration)
+{
+    const auto value = nlohmann::json::parse(
+        R"({"version":"r7","limits":{"maxHeaderBytes":100,"idleTimeout":"15000ms"},"tenants":[{"name":"t","apiKeys":["k"],"priority":1,"ratePerS":128,"burst":64}],"listeners":[{"host":"h.example","routingRules":[{"name":"r","type":"idempotent","targetLatency":"300ms","priority":2,"match":{"pathPrefix":"/p/"},"action":{"weightedTargets":[{"service":"s","weight":90},{"service":"u","weight":10}],"timeout":"1200ms","maxAttempts":2}}]}],"clusters":[{"name":"s","sharded":true,"warmupPerS":23.0},{"name":"u"}]})");
+    const auto read = edges.readConfiguration(value);
+    CHECK(read.ok());
+    LONGS_EQUAL(7, read->version);
+    LONGS_EQUAL(100, read->headerBytes);
+    const RouteConfig& route = read->configuration->routes.front();
+    LONGS_EQUAL(2, route.targets.size());
+    LONGS_EQUAL(1'200, route.timeout.count());
+    CHECK(route.isIdempotent && !route.isOpen);
+    CHECK(read->configuration->services.at("s").isRangeKeyed);
+    STRCMP_EQUAL("t", read->configuration->keys.at(sha256Hex("k")).team.c_str());
+}
+
+TEST(ConfigurationWire, WhatCannotBeReadIsAnError)
+{
+    for (const char* text : { "{}", R"({"version":"7","listeners":[],"clusters":[]})",
+             R"({"version":"r7","listeners":[{"host":"h"}],"clusters":[]})" })
+        CHECK(!edges.readConfiguration(nlohmann::json::parse(text)).ok());
+}
--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -22,9 +22,10 @@
     result->keys["ka"] = { "ka", "a", sha256Hex("key-a") };
     result->keys["kb"] = { "kb", "b", sha256Hex("key-b") };
     result->routes.push_back(
-        { "cards", "cards", { "cards", "{key}", "*" }, {}, { "GET" }, { "a" }, false, true });
-    result->routes.push_back({ "open", "print", { "open" }, {}, {}, {}, true, false });
-    result->routes.push_back({ "header", "cards", { "by-header" }, "X-Card", {}, {}, false, false });
+        { "cards", "cards", { "cards", "{key}", "*" }, {}, { "GET" }, { "a" }, false, true, {}, {}, {} });
+    result->routes.push_back({ "open", "print", { "open" }, {}, {}, {}, true, false, {}, {}, {} });
+    result->routes.push_back(
+        { "header", "cards", { "by-header" }, "X-Card", {}, {}, false, false, {}, {}, {} });
     return result;
 }
 
@@ -93,6 +94,76 @@
     LONGS_EQUAL(0, quarantine.size());
 }
 
+TEST_GROUP(PrefixRouter)
+{
+    std::shared_ptr<Configuration> byPrefix = std::make_shared<Configuration>();
+    uint64_t drawn = 0;
+
+    void setup() override
+    {
+        byPrefix->services["cards"] = { "cards", 0, true };
+        byPrefix->services["print"] = { "print" };
+        byPrefix->services["old"] = { "old" };
+        byPrefix->teams["a"] = { "a", 1, 1, 0 };
+        byPrefix->keys["ka"] = { "ka", "a", sha256Hex("key-a") };
+        add("cards", "h.example", "/x/", "cards").keyHeader = "X-Key";
+        RouteConfig& shared = add("print", "h.example", "/x/y/", "");
+        shared.targets = { { "print", 90 }, { "old", 10 } };
+        shared.priority = 2;
+        add("other", "g.example", "/", "old").isOpen = true;
+    }
+
+    RouteConfig& add(const char* name, const char* host, const char* prefix, const char* service)
+    {
+        RouteConfig route;
+        route.name = name;
+        route.host = host;
+        route.pathPrefix = prefix;
+        route.service = service;
+        byPrefix->routes.push_back(route);
+        return byPrefix->routes.back();
+    }
+
+    RoutingResult route(const std::string& host, const std::string& target, const std::string& key = "7")
+    {
+        const Router router(byPrefix, "Token", [this] { return drawn++; });
+        return router.route(
+            { "GET", target, { { "Host", host }, { "Authorization", "Token key-a" }, { "X-Key", key } } });
+    }
+};
+
+TEST(PrefixRouter, TheLongestPrefixOfTheHostDecides)
+{
+    STRCMP_EQUAL("cards", std::get<RoutedRequest>(route("h.example", "/x/1")).service.c_str());
+    STRCMP_EQUAL("print", std::get<RoutedRequest>(route("H.Example:80", "/x/y/1?q=/z/")).routeName.c_str());
+    STRCMP_EQUAL("old", std::get<RoutedRequest>(route("g.example", "/x/y/1")).service.c_str());
+    CHECK(refusalOf(route("h.example", "/y/1")) == RefusalReason::NoRoute);
+    CHECK(refusalOf(route("h.example", "/x")) == RefusalReason::NoRoute);
+    CHECK(refusalOf(route("i.example", "/x/1")) == RefusalReason::NoRoute);
+}
+
+TEST(PrefixRouter, TargetsShareTheRequestsByTheirWeights)
+{
+    int old = 0;
+    for (int i = 0; i < 1'000; ++i)
+        old += std::get<RoutedRequest>(route("h.example", "/x/y/")).service == "old" ? 1 : 0;
+    LONGS_EQUAL(100, old);
+}
+
+TEST(PrefixRouter, TheTeamsPriorityTakesPrecedence)
+{
+    LONGS_EQUAL(0, std::get<RoutedRequest>(route("h.example", "/x/y/")).priority);
+    byPrefix->teams["a"].priority = -1;
+    LONGS_EQUAL(2, std::get<RoutedRequest>(route("h.example", "/x/y/")).priority);
+}
+
+TEST(PrefixRouter, KeysOfRangesAreNumbers)
+{
+    LONGS_EQUAL(65'535, std::get<RoutedRequest>(route("h.example", "/x/", "65535")).partition);
+    for (const char* key : { "65536", "-1", "x", "" })
+        CHECK(refusalOf(route("h.example", "/x/", key)) == RefusalReason::BadRequest);
+}
+
 TEST_GROUP(ServerChoice) {};
 
 TEST(ServerChoice, LeavesAStragglerOutAndTakesItBackAfterAGoodProbe)
--- /dev/null
+++ b/tests/sidecar/sidecar.cpp
@@ -0,0 +1,321 @@
+// Whole sidecars in one process, against a stand-in store and stand-in servers on loopback: the path of a
+// request, keys and their moves, leaving servers, callers that leave, planned stops.
+
+#include "sidecar/sidecar.h"
+#include "configurationwire.h"
+#include "reportwire.h"
+#include "requestwire.h"
+#include "standins.h"
+#include "storewire.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+namespace {
+
+constexpr Milliseconds longTime { 20'000 };
+constexpr int firstPort = 18'800;
+constexpr int portsPerInstance = 10;
+const Address storeAddress { "127.0.0.1", 18'799 };
+
+Edges platformEdges()
+{
+    Edges edges;
+    platform::addRequestEdges(edges);
+    platform::addReportEdges(edges);
+    platform::addConfigurationEdges(edges);
+    edges.store = platform::storeDialect();
+    return edges;
+}
+
+nlohmann::json configuration(int version, bool hasOrders = true)
+{
+    nlohmann::json rules = nlohmann::json::array();
+    const auto addRule
+        = [&rules](const char* name, const char* type, const char* prefix, const char* service) {
+              rules.push_back({ { "name", name }, { "type", type }, { "targetLatency", "2s" },
+                  { "priority", 1 }, { "match", { { "pathPrefix", prefix } } },
+                  { "action", { { "service", service }, { "timeout", "4s" }, { "maxAttempts", 2 } } } });
+          };
+    addRule("cards", "idempotent", "/cards/", "gallery");
+    if (hasOrders)
+        addRule("orders", "non_idempotent", "/orders/", "orders");
+    return { { "version", "r" + std::to_string(version) },
+        { "tenants", { { { "name", "team" }, { "apiKeys", { "key" } }, { "ratePerS", 0 } } } },
+        { "listeners", { { { "host", "h" }, { "routingRules", rules } } } },
+        { "clusters", { { { "name", "gallery" }, { "sharded", true } }, { { "name", "orders" } } } } };
+}
+
+SidecarSettings settingsOf(int index, const std::string& service)
+{
+    const int port = firstPort + index * portsPerInstance;
+    SidecarSettings settings;
+    settings.name = "i" + std::to_string(index);
+    settings.zone = "zone-" + std::to_string(index % 2);
+    settings.service = service;
+    settings.callerAddress = { "127.0.0.1", port };
+    settings.reportAddress = { "127.0.0.1", port + 1 };
+    settings.readinessAddress = { "127.0.0.1", port + 2 };
+    settings.peerAddress = { "127.0.0.1", port + 3 };
+    settings.serverAddress = { "127.0.0.1", port + 4 };
+    settings.storeAddress = storeAddress;
+    settings.reportInterval = Milliseconds(300);
+    settings.stopTime = Milliseconds(4'000);
+    return settings;
+}
+
+// An instance: its server and the sidecar beside it.
+struct Instance {
+    Instance(asio::io_context& loop, int index, const std::string& service)
+        : settings(settingsOf(index, service))
+        , sidecar(Sidecar::Builder().setSettings(settings).setEdges(platformEdges()).build(loop))
+        , caller(loop, { settings.callerAddress, Milliseconds(1'000), Milliseconds(5'000), false, {} })
+    {
+        if (!sidecar->start().ok())
+            std::abort();
+        server = std::make_unique<StandInServer>(
+            loop, "server-" + settings.name, service, settings.serverAddress, settings.reportAddress);
+    }
+
+    SidecarSettings settings;
+    std::unique_ptr<Sidecar> sidecar;
+    std::unique_ptr<StandInServer> server;
+    HttpClient caller;
+};
+
+}
+
+TEST_GROUP(Sidecar)
+{
+    asio::io_context loop { 1 };
+    std::unique_ptr<StandInStore> store;
+    std::vector<std::unique_ptr<Instance>> instances;
+    int64_t requests = 0;
+
+    void setup() override
+    {
+        store = std::make_unique<StandInStore>(loop, storeAddress);
+        store->put("config", "main", configuration(1));
+    }
+
+    void begin(const std::vector<std::string>& services)
+    {
+        for (const std::string& service : services)
+            instances.push_back(
+                std::make_unique<Instance>(loop, static_cast<int>(instances.size()), service));
+        CHECK(runUntil([this] { return isServing(); }));
+    }
+
+    bool isServing() const
+    {
+        for (const auto& instance : instances) {
+            if (store->value(fleetKind, instanceObjectName(instance->settings.name)).is_null())
+                return false;
+            if (instance->settings.service == "gallery" && instance->server->holdsCount() == 0)
+                return false;
+        }
+        return true;
+    }
+
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const TimePoint end = BootClock::now() + longTime;
+        while (!condition() && BootClock::now() < end) {
+            loop.restart();
+            loop.run_one_for(Milliseconds(20));
+        }
+        return condition();
+    }
+
+    HttpRequest cardRequest(int key)
+    {
+        return { "GET", "/cards/1",
+            { { "Host", "h" }, { "Authorization", "Token key" },
+                { "Persimmonfield-Request-Id", "r" + std::to_string(++requests) },
+                { "Persimmonfield-Deadline-Ms", "4000" },
+                { "Persimmonfield-Shard-Key", std::to_string(key) } },
+            {} };
+    }
+
+    HttpRequest orderRequest()
+    {
+        HttpRequest request = cardRequest(0);
+        request.method = "POST";
+        request.target = "/orders/1";
+        request.headers.pop_back();
+        request.body = "order";
+        return request;
+    }
+
+    CallResult call(int index, const HttpRequest& request)
+    {
+        std::optional<CallResult> result;
+        instances[static_cast<size_t>(index)]->caller.call(
+            request, longTime, [&result](CallResult ended) { result = std::move(ended); });
+        CHECK(runUntil([&result] { return result.has_value(); }));
+        return *result;
+    }
+
+    int statusOf(int index, const HttpRequest& request)
+    {
+        const CallResult result = call(index, request);
+        return result.outcome == CallOutcome::Answered ? result.response.status : 0;
+    }
+
+    StandInServer& serverOf(int index)
+    {
+        return *instances[static_cast<size_t>(index)]->server;
+    }
+
+    size_t runsOfAll() const
+    {
+        size_t sum = 0;
+        for (const auto& instance : instances)
+            sum += instance->server->runs().size();
+        return sum;
+    }
+};
+
+TEST(Sidecar, ARequestReachesAServerBesideAnotherInstance)
+{
+    begin({ "gallery", "orders" });
+    const CallResult result = call(0, orderRequest());
+    LONGS_EQUAL(200, result.response.status);
+    STRCMP_EQUAL("from server-i1", result.response.body.c_str());
+    STRCMP_EQUAL("signed", result.response.header("Persimmonfield-Response-Signature")->c_str());
+    const HttpRequest& run = serverOf(1).runs().front();
+    STRCMP_EQUAL("order", run.body.c_str());
+    STRCMP_EQUAL("gallery", run.header("Persimmonfield-Caller-Service")->c_str());
+    STRCMP_EQUAL("team", run.header("Persimmonfield-Tenant")->c_str());
+    CHECK(!run.header("Authorization"));
+}
+
+TEST(Sidecar, EachKeyIsServedByItsOneHolder)
+{
+    begin({ "gallery", "gallery" });
+    for (int key = 0; key <= 65'535; key += 6'553) {
+        LONGS_EQUAL(200, statusOf(key % 2, cardRequest(key)));
+        CHECK(serverOf(0).holds(key) != serverOf(1).holds(key));
+    }
+    LONGS_EQUAL(400, statusOf(0, cardRequest(70'000)));
+}
+
+TEST(Sidecar, KeysOfALeavingServerMoveWithTheirHandover)
+{
+    begin({ "gallery", "gallery" });
+    serverOf(0).setDraining();
+    CHECK(runUntil([this] { return serverOf(1).holds(0) && serverOf(1).holds(65'535); }));
+    CHECK(!serverOf(0).holds(0));
+    const auto table = store->value(fleetKind, keyTableObjectName("gallery")).dump();
+    CHECK(table.find("left-by-server-i0") != std::string::npos);
+    LONGS_EQUAL(200, statusOf(0, cardRequest(0)));
+}
+
+TEST(Sidecar, KeysStayServedWhileTheStoreIsAway)
+{
+    begin({ "gallery", "orders" });
+    store->setDown(true);
+    const TimePoint until = BootClock::now() + Milliseconds(1'500);
+    CHECK(runUntil([until] { return BootClock::now() >= until; }));
+    LONGS_EQUAL(200, statusOf(1, cardRequest(1)));
+    store->setDown(false);
+    LONGS_EQUAL(200, statusOf(1, cardRequest(1)));
+}
+
+TEST(Sidecar, AWriteWhoseAnswerIsLostIsFoundOut)
+{
+    store->loseAnswersOfNextWrites(3);
+    begin({ "gallery", "orders" });
+    LONGS_EQUAL(200, statusOf(1, cardRequest(1)));
+}
+
+TEST(Sidecar, UnknownKeysAndRoutesAreTold)
+{
+    begin({ "orders" });
+    HttpRequest request = orderRequest();
+    request.headers[1].value = "Token other";
+    LONGS_EQUAL(401, statusOf(0, request));
+    request = orderRequest();
+    request.target = "/nowhere/";
+    LONGS_EQUAL(404, statusOf(0, request));
+    LONGS_EQUAL(0, runsOfAll());
+}
+
+TEST(Sidecar, ConfigurationsOnlyGoForward)
+{
+    begin({ "orders" });
+    store->put("config", "main", configuration(3, false));
+    CHECK(runUntil([this] { return statusOf(0, orderRequest()) == 404; }));
+    store->put("config", "main", configuration(2));
+    for (int i = 0; i < 5; ++i)
+        LONGS_EQUAL(404, statusOf(0, orderRequest()));
+}
+
+TEST(Sidecar, AZoneThatIsTakenOutGetsNothingUntilItIsBack)
+{
+    begin({ "orders", "orders" });
+    store->put("evacuations", "zone-1", nlohmann::json::object());
+    CHECK(runUntil([this] {
+        const size_t before = serverOf(1).runs().size();
+        for (int i = 0; i < 10; ++i)
+            LONGS_EQUAL(200, statusOf(1, orderRequest()));
+        return serverOf(1).runs().size() == before;
+    }));
+    store->remove("evacuations", "zone-1");
+    CHECK(runUntil([this] {
+        const size_t before = serverOf(1).runs().size();
+        LONGS_EQUAL(200, statusOf(1, orderRequest()));
+        return serverOf(1).runs().size() > before;
+    }));
+}
+
+TEST(Sidecar, WhatMustRunOnceIsNotSentAgainAfterItsServerBroke)
+{
+    begin({ "orders", "orders" });
+    serverOf(0).holdAnswers(true);
+    serverOf(1).holdAnswers(true);
+    std::optional<CallResult> result;
+    instances[0]->caller.call(
+        orderRequest(), longTime, [&result](CallResult ended) { result = std::move(ended); });
+    CHECK(runUntil([this] { return runsOfAll() == 1; }));
+    serverOf(0).stop();
+    serverOf(1).stop();
+    CHECK(runUntil([&result] { return result.has_value(); }));
+    LONGS_EQUAL(502, result->response.status);
+    LONGS_EQUAL(1, runsOfAll());
+}
+
+TEST(Sidecar, ACallersLeavingEndsTheWorkAtTheServer)
+{
+    begin({ "gallery", "orders" });
+    serverOf(0).holdAnswers(true);
+    const auto id = instances[1]->caller.call(cardRequest(1), longTime, [](const CallResult&) {});
+    CHECK(runUntil([this] { return runsOfAll() == 1; }));
+    instances[1]->caller.cancel(id);
+    // The slots of the server are free again: two of them serve what comes next.
+    CHECK(runUntil([this] { return true; }));
+    serverOf(0).holdAnswers(false);
+    LONGS_EQUAL(200, statusOf(1, cardRequest(1)));
+    LONGS_EQUAL(2, runsOfAll());
+}
+
+TEST(Sidecar, APlannedStopCutsNoRequest)
+{
+    begin({ "orders", "orders" });
+    serverOf(0).holdAnswers(true);
+    serverOf(1).holdAnswers(true);
+    std::optional<CallResult> result;
+    instances[0]->caller.call(
+        orderRequest(), longTime, [&result](CallResult ended) { result = std::move(ended); });
+    CHECK(runUntil([this] { return runsOfAll() == 1; }));
+    bool isStopped = false;
+    instances[0]->sidecar->stop([&isStopped] { isStopped = true; });
+    const TimePoint until = BootClock::now() + Milliseconds(200);
+    CHECK(runUntil([until] { return BootClock::now() >= until; }));
+    serverOf(0).answerHeld();
+    serverOf(1).answerHeld();
+    CHECK(runUntil([&result] { return result.has_value(); }));
+    LONGS_EQUAL(200, result->response.status);
+    CHECK(runUntil([&isStopped] { return isStopped; }));
+}
--- /dev/null
+++ b/tests/sidecar/standins.cpp
@@ -0,0 +1,247 @@
+#include "standins.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+
+namespace persimmonfield {
+namespace {
+
+    using nlohmann::json;
+
+    constexpr Milliseconds reportInterval { 100 };
+    constexpr Milliseconds callTimeout { 1'000 };
+
+    std::string queryValue(const std::string& target, const std::string& name)
+    {
+        const size_t at = target.find(name + "=");
+        if (at == std::string::npos)
+            return {};
+        const std::string rest = target.substr(at + name.size() + 1);
+        return rest.substr(0, rest.find('&'));
+    }
+
+    HttpResponse responseWith(int status, const std::string& body)
+    {
+        HttpResponse response;
+        response.status = status;
+        response.body = body;
+        return response;
+    }
+
+}
+
+StandInStore::StandInStore(asio::io_context& loop, const Address& address)
+    : server_(loop, [this](const auto& exchange) { handle(exchange); })
+{
+    if (!server_.listen(address).ok())
+        std::abort();
+}
+
+void StandInStore::put(const std::string& kind, const std::string& name, const json& value)
+{
+    objects_[{ kind, name }] = { value, ++revision_, false };
+    answerWatches();
+}
+
+void StandInStore::remove(const std::string& kind, const std::string& name)
+{
+    objects_[{ kind, name }] = { {}, ++revision_, true };
+    answerWatches();
+}
+
+json StandInStore::value(const std::string& kind, const std::string& name) const
+{
+    const auto found = objects_.find({ kind, name });
+    return found == objects_.end() || found->second.isDeleted ? json() : found->second.value;
+}
+
+void StandInStore::answer(const std::shared_ptr<HttpExchange>& exchange, int status, const json& body)
+{
+    exchange->respond(responseWith(status, body.dump()));
+}
+
+void StandInStore::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (isDown_)
+        return answer(exchange, 503, json::object());
+    const std::string path = exchange->request().target.substr(0, exchange->request().target.find('?'));
+    const std::vector<std::string> parts = absl::StrSplit(path.substr(1), '/');
+    const std::string name = parts.size() > 2 ? parts[2] : std::string();
+    if (exchange->request().method == "GET")
+        list(exchange, parts.at(1));
+    else
+        write(exchange, parts.at(1), name);
+}
+
+void StandInStore::list(const std::shared_ptr<HttpExchange>& exchange, const std::string& kind)
+{
+    const std::string after = queryValue(exchange->request().target, "watch");
+    int64_t revision = 0;
+    if (absl::SimpleAtoi(after, &revision)) {
+        watches_.push_back({ kind, revision, exchange });
+        return answerWatches();
+    }
+    json items = json::array();
+    for (const auto& [key, object] : objects_) {
+        if (key.first == kind && !object.isDeleted)
+            items.push_back(objectOf(key));
+    }
+    answer(exchange, 200, { { "items", items }, { "hasMore", false }, { "atRev", revision_ } });
+}
+
+json StandInStore::objectOf(const Key& key) const
+{
+    const Object& object = objects_.at(key);
+    return { { "metadata", { { "name", key.second }, { "revision", object.revision } } },
+        { "spec", object.value }, { "status", nullptr } };
+}
+
+json StandInStore::eventsAfter(const std::string& kind, int64_t revision) const
+{
+    json events = json::array();
+    for (const auto& [key, object] : objects_) {
+        if (key.first == kind && object.revision > revision)
+            events.push_back({ { "object", objectOf(key) }, { "deleted", object.isDeleted } });
+    }
+    return events;
+}
+
+void StandInStore::answerWatches()
+{
+    std::vector<Watch> waiting;
+    for (Watch& watch : std::exchange(watches_, {})) {
+        const json events = eventsAfter(watch.kind, watch.after);
+        if (events.empty())
+            waiting.push_back(std::move(watch));
+        else
+            answer(watch.exchange, 200, { { "events", events }, { "atRev", revision_ } });
+    }
+    watches_.insert(watches_.end(), waiting.begin(), waiting.end());
+}
+
+void StandInStore::write(
+    const std::shared_ptr<HttpExchange>& exchange, const std::string& kind, const std::string& name)
+{
+    ++writes_;
+    const json body = json::parse(exchange->request().body);
+    const json& metadata = body.at("metadata");
+    const Key key { kind, name.empty() ? metadata.at("name").get<std::string>() : name };
+    const auto known = objects_.find(key);
+    const bool exists = known != objects_.end() && !known->second.isDeleted;
+    const bool isCreation = exchange->request().method == "POST";
+    if (isCreation ? exists : !exists || known->second.revision != metadata.value("revision", int64_t { 0 }))
+        return answer(exchange, exists ? 409 : 404, exists ? objectOf(key) : json::object());
+    put(kind, key.second, body.at("spec"));
+    if (lostAnswers_ > 0) {
+        --lostAnswers_;
+        lost_.push_back(exchange);
+        return;
+    }
+    answer(exchange, isCreation ? 201 : 200, objectOf(key));
+}
+
+StandInServer::StandInServer(asio::io_context& loop, std::string id, std::string service,
+    const Address& address, const Address& reportAddress)
+    : id_(std::move(id))
+    , service_(std::move(service))
+    , server_(loop, [this](const auto& exchange) { handle(exchange); })
+    , client_(loop, { reportAddress, callTimeout, callTimeout, false, {} })
+    , timer_(loop)
+{
+    if (!server_.listen(address).ok())
+        std::abort();
+    report();
+    schedule();
+}
+
+void StandInServer::schedule()
+{
+    timer_.expires_after(reportInterval);
+    timer_.async_wait([this](std::error_code error) {
+        if (error || isStopped_)
+            return;
+        report();
+        schedule();
+    });
+}
+
+void StandInServer::report()
+{
+    json holds = json::array();
+    if (BootClock::now() < holdsUntil_) {
+        for (const auto& row : holds_)
+            holds.push_back(row);
+    }
+    const json body { { "service", service_ }, { "slots", 2 },
+        { "state", isDraining_ ? "draining" : "ready" }, { "warmupLeft", "0ms" }, { "sequence", ++sequence_ },
+        { "born", 17 }, { "holds", holds }, { "released", std::exchange(released_, json::array()) } };
+    client_.call(
+        { "PUT", "/instances/" + id_, {}, body.dump() }, callTimeout, [this](const CallResult& result) {
+            if (result.outcome == CallOutcome::Answered && result.response.status == 200)
+                take(result.response.body);
+        });
+}
+
+void StandInServer::take(const std::string& answer)
+{
+    const json body = json::parse(answer);
+    if (!body.contains("holds"))
+        return;
+    std::vector<std::vector<int64_t>> holds;
+    for (const json& row : body.at("holds"))
+        holds.push_back({ row.at(0), row.at(1), row.at(2) });
+    for (const auto& row : holds_) {
+        if (std::find(holds.begin(), holds.end(), row) == holds.end())
+            released_.push_back({ row[0], row[1], "left-by-" + id_ });
+    }
+    holds_ = std::move(holds);
+    int milliseconds = 0;
+    const auto text = body.at("hold_time").get<std::string>();
+    if (absl::SimpleAtoi(text.substr(0, text.size() - 2), &milliseconds))
+        holdsUntil_ = BootClock::now() + Milliseconds(milliseconds);
+}
+
+bool StandInServer::holds(int key) const
+{
+    return BootClock::now() < holdsUntil_
+        && std::any_of(
+            holds_.begin(), holds_.end(), [key](const auto& row) { return row[0] <= key && key <= row[1]; });
+}
+
+void StandInServer::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const HttpRequest& request = exchange->request();
+    int key = 0;
+    const std::string* header = request.header("Persimmonfield-Shard-Key");
+    const std::string* expected = request.header("Persimmonfield-Expect-Instance");
+    const bool isMisdirected
+        = (expected && *expected != id_) || (header && absl::SimpleAtoi(*header, &key) && !holds(key));
+    if (isMisdirected)
+        return exchange->respond(responseWith(421, {}));
+    runs_.push_back(request);
+    if (isHolding_) {
+        held_.push_back(exchange);
+        return;
+    }
+    HttpResponse response = responseWith(200, "from " + id_);
+    response.headers = { { "Persimmonfield-Request-Id", *request.header("Persimmonfield-Request-Id") },
+        { "Persimmonfield-Response-Signature", "signed" }, { "Persimmonfield-Server-Load", "1,0,2,100" } };
+    exchange->respond(std::move(response));
+}
+
+void StandInServer::answerHeld()
+{
+    for (const auto& exchange : std::exchange(held_, {}))
+        exchange->respond(responseWith(200, "late from " + id_));
+}
+
+void StandInServer::stop()
+{
+    isStopped_ = true;
+    timer_.cancel();
+    server_.stop();
+}
+
+}
