Requests: calls of servers go first and are not refused early

Change: requests without a team (a server's calls) are ranked before all others and held to their deadline, not to their objective. Buckets fill from when the rate is known, not from the team's first request.

--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -48,7 +48,7 @@
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
     asio::steady_timer connectTimer_;
-    std::array<char, 8 * 1024> chunk_;
+    std::array<char, 8'192> chunk_;
     std::string buffer_;
     std::optional<Parser> parser_;
     HttpClient::CallId callId_ = 0;
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -18,8 +18,8 @@
 
 // What a caller may send, and how long it may take or stay idle.
 struct HttpServerLimits {
-    size_t headerBytes = 16 * 1024;
-    size_t bodyBytes = 1024 * 1024;
+    size_t headerBytes = 16'384;
+    size_t bodyBytes = 1'048'576;
     Milliseconds headerTimeout { 3'000 };
     Milliseconds idleTimeout { 15'000 };
 };
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -44,7 +44,7 @@
     HttpServer* server_; // Null once closed.
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
-    std::array<char, 8 * 1024> chunk_;
+    std::array<char, 8'192> chunk_;
     std::string buffer_; // Read and not parsed yet.
     std::optional<Parser> parser_;
     std::deque<std::shared_ptr<HttpExchange>> waiting_;
--- a/src/limits/teambuckets.cpp
+++ b/src/limits/teambuckets.cpp
@@ -25,7 +25,7 @@
 
 }
 
-void TeamBuckets::setRates(std::map<std::string, TeamRate> rates)
+void TeamBuckets::setRates(std::map<std::string, TeamRate> rates, TimePoint now)
 {
     rates_ = std::move(rates);
     for (auto bucket = buckets_.begin(); bucket != buckets_.end();) {
@@ -37,6 +37,8 @@
         bucket->second.level = std::min(bucket->second.level, capacity(rate->second) + mostStock);
         ++bucket;
     }
+    for (const auto& [team, rate] : rates_)
+        filled(team, now);
 }
 
 void TeamBuckets::setInstances(size_t instances)
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -22,6 +22,8 @@
     constexpr Milliseconds retryPause { 30 };
     // When to come back after a refusal that does not say it better.
     constexpr Milliseconds usualRetryAfter { 200 };
+    // Before all priorities that a configuration gives.
+    constexpr int64_t callPriority = -1;
     // Gates that may turn one request away before it is refused.
     constexpr int mostGates = 4;
     // The part of the fleet's reserve of retries that all instances together may use.
@@ -149,8 +151,11 @@
     Milliseconds patience = std::min(head->patience.value_or(defaultPatience), longestPatience);
     if (routed.timeout > Milliseconds(0))
         patience = std::min(patience, routed.timeout);
-    const Milliseconds objective
-        = routed.objective > Milliseconds(0) ? std::min(routed.objective, patience) : patience;
+    // Work that has begun depends on the calls of servers: they go first, and late is better than not at all.
+    const bool isServersCall = routed.team.empty();
+    const Milliseconds objective = routed.objective > Milliseconds(0) && !isServersCall
+        ? std::min(routed.objective, patience)
+        : patience;
     passage.deadline = passage.arrived + patience;
     passage.objectiveEnd = passage.arrived + objective;
     passage.holdEnd = passage.arrived + objective / (routed.partition >= 0 ? keyedHoldPart : holdPart);
@@ -166,7 +171,7 @@
     request.target = received.target;
     request.headers = withoutCallerKey(received.headers);
     request.idempotent = routed.isIdempotent;
-    request.priority = routed.priority;
+    request.priority = isServersCall ? callPriority : routed.priority;
     request.callerService = options_.settings.service;
     return std::nullopt;
 }
--- a/src/sidecar/teamlimits.cpp
+++ b/src/sidecar/teamlimits.cpp
@@ -40,7 +40,7 @@
         if (team.ratePerSecond > 0)
             rates[name] = { team.ratePerSecond, team.burst };
     }
-    buckets_.setRates(std::move(rates));
+    buckets_.setRates(std::move(rates), BootClock::now());
 }
 
 void TeamLimits::charge(const std::string& team, const Done& done)
--- a/tests/limits/teambuckets.cpp
+++ b/tests/limits/teambuckets.cpp
@@ -21,7 +21,7 @@
 TeamBuckets bucketsFor(const TeamRate& rate, size_t instances)
 {
     TeamBuckets buckets;
-    buckets.setRates({ { team, rate } });
+    buckets.setRates({ { team, rate } }, start);
     buckets.setInstances(instances);
     return buckets;
 }
@@ -78,6 +78,16 @@
     CHECK(admitted >= 850);
 }
 
+TEST(TeamBuckets, ABucketFillsFromWhenItsRateIsKnown)
+{
+    TeamBuckets buckets = bucketsFor({ 90, 90 }, 9);
+    const TimePoint later = start + std::chrono::seconds(5);
+    int64_t admitted = 0;
+    while (buckets.trySpend(team, later))
+        ++admitted;
+    LONGS_EQUAL(10, admitted);
+}
+
 TEST(TeamBuckets, ATeamWithoutARateIsNeverRefused)
 {
     TeamBuckets buckets;
@@ -88,10 +98,9 @@
 TEST(TeamBuckets, ALoweredRateTakesTheStockWithIt)
 {
     TeamBuckets buckets = bucketsFor({ 1'000, 1'000 }, 1);
-    buckets.trySpend(team, start);
     const TimePoint later = start + std::chrono::seconds(2);
     CHECK(buckets.trySpend(team, later));
-    buckets.setRates({ { team, { 1, 2 } } });
+    buckets.setRates({ { team, { 1, 2 } } }, later);
     int64_t admitted = 0;
     while (buckets.trySpend(team, later))
         ++admitted;
