Gate, keys: the queue goes by latest start; a restarted server gets its ranges at once; fewer moves

Change: rank by priority, then by the latest start; a later life at the one address of an instance ends the earlier one; a first report waits up to 250 ms for a table write under way; keys move at 0.75 busyness and a gap of 0.4.

--- a/src/ownership/keytable.cpp
+++ b/src/ownership/keytable.cpp
@@ -285,13 +285,14 @@
             continue;
         const bool isOfEarlierLife = !own.life || lifeOf(range) != *own.life;
         const KeyMember* target = findMember(members, range.target);
-        if (isOfEarlierLife && own.hasEarlierGrantsEnded) {
-            const KeyMember* self = findMember(members, own.instance);
+        const bool hasOwnerEnded = own.hasEarlierGrantsEnded
+            || (own.life && own.isAloneAtAddress && range.serverStartedMs < own.life->startedMs);
+        if (isOfEarlierLife && hasOwnerEnded) {
             giveToNobody(range);
             if (target && target->takesKeys)
                 giveTo(range, *target);
-            else if (own.life && self && self->takesKeys && self->server == *own.life)
-                giveTo(range, *self);
+            else if (own.life && own.takesKeys)
+                giveTo(range, { own.instance, *own.life, true, false, 1 });
             hasChanged = true;
         } else if (!isOfEarlierLife && target && target->takesKeys && own.isReleased(range)) {
             range.handover = own.handover(range);
--- a/src/sidecar/edges.h
+++ b/src/sidecar/edges.h
@@ -34,6 +34,7 @@
     ServerLife life;
     int64_t sequence = 0; // Rises with each report of one life.
     std::string service;
+    std::string address; // Where it listens.
     int slots = 1;
     bool isDraining = false;
     Milliseconds coldFor { 0 }; // How much longer it stays cold.
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -16,6 +16,8 @@
     constexpr Milliseconds pollInterval { 1'500 };
     // A first table waits until all who start together have reported.
     constexpr Milliseconds settleTime { 1'500 };
+    // A report is acknowledged well within the second after which the server takes it for lost.
+    constexpr Milliseconds longestDefer { 250 };
     constexpr Milliseconds tableRetryPause { 300 };
     // After a write that somebody else's came before: a pause of that time, spread by so many milliseconds.
     constexpr Milliseconds conflictPause { 20 };
@@ -25,10 +27,10 @@
     constexpr Milliseconds returnTime { 2'500 };
     // A server whose requests, running and waiting, take up this part of its slots gives keys away to one
     // that is less busy by so much.
-    constexpr double busyServer = 0.6;
-    constexpr double worthMoving = 0.3;
+    constexpr double busyServer = 0.75;
+    constexpr double worthMoving = 0.4;
     // The effect of one move shows before the next.
-    constexpr Milliseconds offloadInterval { 2'000 };
+    constexpr Milliseconds offloadInterval { 2'500 };
     // Reports that a hold outlasts.
     constexpr int reportsInHold = 3;
 
@@ -46,6 +48,7 @@
     : options_(std::move(options))
     , timer_(*options_.loop)
     , retryTimer_(*options_.loop)
+    , deferTimer_(*options_.loop)
     , lease_(options_.settings.name, options_.incarnation, KeyLeaseTiming())
     , leases_(KeyLeaseTiming())
     , holder_(holderOptions(options_.settings))
@@ -86,10 +89,39 @@
     return lease_.needsConfirmation() ? TimePoint() : lease_.end();
 }
 
-KeyAnswer KeyDuty::answer(const ServerReport& report)
+void KeyDuty::answer(const ServerReport& report, const std::function<void(KeyAnswer)>& done)
+{
+    answerDeferred();
+    isAloneAtAddress_ = report.address == options_.settings.serverAddress.text();
+    renewLease(BootClock::now());
+    KeyAnswer answer = answerNow(report);
+    if (!answer.grants.empty() || !report.holds.empty() || !mayGrantSoon())
+        return done(std::move(answer));
+    deferred_ = Deferred { std::make_shared<ServerReport>(report), done };
+    deferTimer_.expires_after(longestDefer);
+    deferTimer_.async_wait([this](std::error_code error) {
+        if (!error)
+            answerDeferred();
+    });
+}
+
+// Whether a write that is under way, or due at once, may give the server keys.
+bool KeyDuty::mayGrantSoon() const
+{
+    return pendingTable_ || isConfirming_ || lease_.needsConfirmation();
+}
+
+void KeyDuty::answerDeferred()
+{
+    if (const auto deferred = std::exchange(deferred_, std::nullopt)) {
+        deferTimer_.cancel();
+        deferred->done(answerNow(*deferred->report));
+    }
+}
+
+KeyAnswer KeyDuty::answerNow(const ServerReport& report)
 {
     const TimePoint now = BootClock::now();
-    renewLease(now);
     holder_.setLeaseEnd(grantableUntil());
     KeyAnswer answer = holder_.report({ report.life, report.holds, report.released }, grantableTable(), now);
     updateTable();
@@ -174,6 +206,8 @@
         lease_.confirmed();
         options_.onChange();
         updateTable();
+        if (!mayGrantSoon())
+            answerDeferred();
     });
 }
 
@@ -265,6 +299,9 @@
     OwnServer own;
     own.instance = options_.settings.name;
     own.life = options_.serverLife();
+    own.takesKeys
+        = options_.isServerReady() && options_.zonesOut().count(options_.settings.zone) == 0;
+    own.isAloneAtAddress = isAloneAtAddress_;
     own.hasEarlierGrantsEnded
         = own.life ? holder_.haveEarlierGrantsEnded(*own.life, now) : holder_.haveAllGrantsEnded(now);
     own.isReleased = [this, now](const stored::KeyRange& range) { return holder_.isReleased(range, now); };
@@ -403,6 +440,8 @@
     }
     options_.onChange();
     updateTable();
+    if (!mayGrantSoon())
+        answerDeferred();
 }
 
 }
--- a/src/sidecar/keyduty.h
+++ b/src/sidecar/keyduty.h
@@ -12,6 +12,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,6 +28,7 @@
     StoreSession* store = nullptr;
     FleetDirectory* directory = nullptr;
     std::function<std::optional<ServerLife>()> serverLife;
+    std::function<bool()> isServerReady; // Neither leaving nor silent.
     std::function<const std::set<std::string>&()> zonesOut;
     std::function<peer::ServerLoad()> ownLoad;
     const LoadBoard* loads = nullptr;
@@ -43,7 +45,9 @@
 
     void start();
 
-    KeyAnswer answer(const ServerReport& report);
+    // Calls `done` with what the server is to hold. Waits a little where a write under way may give it its first
+    // keys, so that it need not wait for its next report.
+    void answer(const ServerReport& report, const std::function<void(KeyAnswer)>& done);
     bool mayRun(int key, TimePoint now) const { return holder_.mayRun(key, now); }
 
     // A request for a key of this instance's server has come.
@@ -72,11 +76,15 @@
     void sendTable();
     void tableWritten(const StoreWriteResult& result);
     stored::KeyTable grantableTable() const;
+    KeyAnswer answerNow(const ServerReport& report);
+    bool mayGrantSoon() const;
+    void answerDeferred();
     TimePoint grantableUntil() const;
 
     KeyDutyOptions options_;
     asio::steady_timer timer_;
     asio::steady_timer retryTimer_;
+    asio::steady_timer deferTimer_;
     KeyLeaseHolder lease_;
     KeyLeaseWatch leases_;
     KeyHolder holder_;
@@ -92,6 +100,13 @@
         bool isConfirmation = false;
     };
     std::optional<PendingTable> pendingTable_;
+    // A report that waits for its answer.
+    struct Deferred {
+        std::shared_ptr<ServerReport> report;
+        std::function<void(KeyAnswer)> done;
+    };
+    std::optional<Deferred> deferred_;
+    bool isAloneAtAddress_ = false;
     TimePoint nextTableWrite_;
     KeyLoad load_;
     LoadBoard ownBoard_; // How busy the own server was, smoothed as that of others.
--- a/src/sidecar/serverduty.cpp
+++ b/src/sidecar/serverduty.cpp
@@ -23,16 +23,31 @@
 void ServerDuty::handle(const std::shared_ptr<HttpExchange>& exchange)
 {
     const auto message = options_.edges->readReport(exchange->request());
-    ServerReportAnswer answer;
+    ServerReportAnswer result;
     if (!message.ok()) {
-        answer.isAccepted = false;
-        answer.cause = std::string(message.status().message());
-        log(LogLevel::Warning, "report-unreadable", { { "cause", answer.cause } });
-    } else if (const auto* report = std::get_if<ServerReport>(&*message)) {
-        answer = take(*report);
-    } else {
-        takeLeave(std::get<ServerLeave>(*message));
+        result.isAccepted = false;
+        result.cause = std::string(message.status().message());
+        log(LogLevel::Warning, "report-unreadable", { { "cause", result.cause } });
+        return answer(exchange, result);
     }
+    if (const auto* leave = std::get_if<ServerLeave>(&*message)) {
+        takeLeave(*leave);
+        return answer(exchange, result);
+    }
+    const auto& report = std::get<ServerReport>(*message);
+    bool needsKeys = false;
+    result = take(report, needsKeys);
+    if (!needsKeys)
+        return answer(exchange, result);
+    options_.answerKeys(report, [this, exchange, result](std::optional<KeyAnswer> keys) {
+        ServerReportAnswer whole = result;
+        whole.keys = std::move(keys);
+        answer(exchange, whole);
+    });
+}
+
+void ServerDuty::answer(const std::shared_ptr<HttpExchange>& exchange, const ServerReportAnswer& answer) const
+{
     exchange->respond(options_.edges->writeReportAnswer(answer));
 }
 
@@ -48,7 +63,7 @@
     return report.sequence <= known.sequence || server_->hasLeft;
 }
 
-ServerReportAnswer ServerDuty::take(const ServerReport& report)
+ServerReportAnswer ServerDuty::take(const ServerReport& report, bool& needsKeys)
 {
     ServerReportAnswer answer;
     if (report.service != options_.settings.service) {
@@ -83,8 +98,8 @@
     else
         options_.gate->setServer(GatedServer {
             report.life, report.service, report.slots, server_->coldUntil, server_->leavingSince });
-    answer.keys = options_.answerKeys(report);
     watchSilence();
+    needsKeys = true;
     return answer;
 }
 
--- a/src/sidecar/serverduty.h
+++ b/src/sidecar/serverduty.h
@@ -14,13 +14,16 @@
 
 namespace persimmonfield {
 
+// Gets what the server is to hold; nothing where the service is not divided by key.
+using KeysDone = std::function<void(std::optional<KeyAnswer> keys)>;
+
 struct ServerDutyOptions {
     asio::io_context* loop = nullptr;
     const Edges* edges = nullptr;
     SidecarSettings settings;
     ServerGate* gate = nullptr;
-    // Which keys the server is to hold; nothing where the service is not divided by key.
-    std::function<std::optional<KeyAnswer>(const ServerReport& report)> answerKeys;
+    // Finds out which keys the server is to hold, at once or a little later.
+    std::function<void(const ServerReport& report, const KeysDone& done)> answerKeys;
     // The server has come, changed its state, or is gone.
     std::function<void()> onChange;
 };
@@ -39,6 +42,9 @@
     // The life that reported lately; nothing while there is none.
     std::optional<ServerLife> life() const;
 
+    // Whether there is one that is not about to leave.
+    bool isReady() const { return server_ && !server_->isSilent && !server_->leavingSince; }
+
 private:
     struct Server {
         ServerReport report;
@@ -49,7 +55,9 @@
         bool isSilent = false;
     };
 
-    ServerReportAnswer take(const ServerReport& report);
+    void answer(const std::shared_ptr<HttpExchange>& exchange, const ServerReportAnswer& answer) const;
+    // Takes the report in; what the answer has to say but for keys, and whether keys are to be asked for.
+    ServerReportAnswer take(const ServerReport& report, bool& needsKeys);
     void takeLeave(const ServerLeave& leave);
     bool isStale(const ServerReport& report) const;
     void changed(const char* cause);
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -98,8 +98,16 @@
     return found == usualWork_.end() ? Duration::zero() : found->second;
 }
 
-// How long a request of that priority would wait for a slot.
-Duration ServerGate::expectedWait(int64_t priority, TimePoint now) const
+ServerGate::Rank ServerGate::rankOf(CallId id, const GateCall& call, TimePoint now) const
+{
+    Duration work = expectedWork(call.request.route);
+    if (work == Duration::zero())
+        work = (call.objectiveEnd - now) / firstWorkPart;
+    return { call.request.priority, call.objectiveEnd - work, id };
+}
+
+// How long a request of that rank would wait for a slot.
+Duration ServerGate::expectedWait(const Rank& rank, TimePoint now) const
 {
     const auto slots = static_cast<size_t>(server_->slots);
     if (running_.size() + waiting_.size() < slots)
@@ -107,10 +115,8 @@
     Duration work { 0 };
     for (const auto& [id, running] : running_)
         work += std::max(Duration::zero(), running.expected - (now - running.began));
-    for (const auto& [rank, call] : waiting_) {
-        if (rank.first <= priority)
-            work += expectedWork(call.request.route);
-    }
+    for (auto ahead = waiting_.begin(); ahead != waiting_.end() && ahead->first < rank; ++ahead)
+        work += expectedWork(ahead->second.request.route);
     return work / static_cast<int64_t>(slots);
 }
 
@@ -124,17 +130,15 @@
     }
     if (call.request.partition >= 0)
         options_.onKey(static_cast<int>(call.request.partition), now);
-    Duration work = expectedWork(call.request.route);
-    if (work == Duration::zero())
-        work = (call.objectiveEnd - now) / firstWorkPart;
-    const Duration wait = expectedWait(call.request.priority, now);
-    if (wait > Duration::zero() && now + wait + work > call.objectiveEnd) {
+    const Rank rank = rankOf(id, call, now);
+    const Duration wait = expectedWait(rank, now);
+    if (wait > Duration::zero() && now + wait > rank.latestStart) {
         answer(call,
             refusalWith(RefusalReason::QueueFull, "the server is too busy to answer within the objective",
                 toMilliseconds(wait)));
         return id;
     }
-    waiting_.emplace(Rank { call.request.priority, id }, std::move(call));
+    waiting_.emplace(rank, std::move(call));
     startWaiting();
     return id;
 }
@@ -154,7 +158,7 @@
         return;
     }
     for (auto entry = waiting_.begin(); entry != waiting_.end(); ++entry) {
-        if (entry->first.second != id)
+        if (entry->first.id != id)
             continue;
         waiting_.erase(entry);
         return;
@@ -187,7 +191,7 @@
 {
     const TimePoint now = BootClock::now();
     while (mayStart(now)) {
-        const CallId id = waiting_.begin()->first.second;
+        const CallId id = waiting_.begin()->first.id;
         GateCall call = std::move(waiting_.begin()->second);
         waiting_.erase(waiting_.begin());
         if (auto reply = refusal(call, now))
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace persimmonfield {
@@ -72,8 +73,18 @@
     bool isIdle() const { return waiting_.empty() && running_.empty(); }
 
 private:
-    // Urgent requests first, then in the order of arrival.
-    using Rank = std::pair<int64_t, CallId>;
+    // Urgent requests first, then those that must start earliest to be answered within their objective.
+    struct Rank {
+        int64_t priority = 0;
+        TimePoint latestStart;
+        CallId id = 0;
+
+        bool operator<(const Rank& other) const
+        {
+            return std::tie(priority, latestStart, id)
+                < std::tie(other.priority, other.latestStart, other.id);
+        }
+    };
 
     struct Running {
         GateCall call;
@@ -84,13 +95,14 @@
 
     std::optional<Reply> refusal(const GateCall& call, TimePoint now) const;
     Duration expectedWork(const std::string& route) const;
-    Duration expectedWait(int64_t priority, TimePoint now) const;
+    Duration expectedWait(const Rank& rank, TimePoint now) const;
     void startWaiting();
     bool mayStart(TimePoint now);
     Duration untilColdRoom(TimePoint now);
     void start(CallId id, GateCall call, TimePoint now);
     void ended(CallId id, CallResult result);
     Reply replyOf(CallResult result);
+    Rank rankOf(CallId id, const GateCall& call, TimePoint now) const;
     void noteWork(const std::string& route, Duration work);
     void armTimer(TimePoint at);
     void refuseOverdue(TimePoint now);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -59,7 +59,7 @@
         [this](int key, TimePoint now) { return keys_ && keys_->mayRun(key, now); },
         [this](int key, TimePoint now) { keys_->noteRequest(key, now); } });
     server_ = std::make_unique<ServerDuty>(ServerDutyOptions { &loop_, &edges_, settings_, gate_.get(),
-        [this](const ServerReport& report) { return answerKeys(report); },
+        [this](const ServerReport& report, const KeysDone& done) { answerKeys(report, done); },
         [this] {
             publishEntry();
             onDirectoryChange();
@@ -197,7 +197,7 @@
     if (!service->second.isRangeKeyed || keys_)
         return;
     keys_ = std::make_unique<KeyDuty>(KeyDutyOptions { &loop_, settings_, incarnation_, &store_, &directory_,
-        [this] { return server_->life(); },
+        [this] { return server_->life(); }, [this] { return server_->isReady() && !isStopping_; },
         [this]() -> const std::set<std::string>& { return configuration_.zonesOut(); },
         [this] { return gate_->load(); }, &loads_, [this] { onDirectoryChange(); } });
     keys_->start();
@@ -218,11 +218,11 @@
     ingress_->onDirectoryChange();
 }
 
-std::optional<KeyAnswer> Sidecar::answerKeys(const ServerReport& report)
+void Sidecar::answerKeys(const ServerReport& report, const KeysDone& done)
 {
     if (!keys_)
-        return std::nullopt;
-    return keys_->answer(report);
+        return done(std::nullopt);
+    keys_->answer(report, done);
 }
 
 void Sidecar::onFrame(LinkId link, Frame frame)
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -66,7 +66,7 @@
     void onFrame(LinkId link, Frame frame);
     void answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const;
     void answerMetrics(const std::shared_ptr<HttpExchange>& exchange) const;
-    std::optional<KeyAnswer> answerKeys(const ServerReport& report);
+    void answerKeys(const ServerReport& report, const KeysDone& done);
     void checkStopped();
 
     asio::io_context& loop_;
--- a/tests/ownership/keytable.cpp
+++ b/tests/ownership/keytable.cpp
@@ -115,6 +115,7 @@
                       own.instance = member.instance;
                       own.life = member.server;
                       own.hasEarlierGrantsEnded = true;
+                own.takesKeys = member.takesKeys;
                       own.isReleased = [&random](const stored::KeyRange&) { return random() % 2 == 0; };
                       own.handover = [](const stored::KeyRange&) { return std::string(); };
                       if (auto settled = settleTable(table, own, members))
@@ -201,6 +202,28 @@
     CHECK(weight > 300 && weight < 500);
 }
 
+// After a loss of power servers waited for the end of grants that their own earlier lives had had.
+TEST(KeyTable, ALaterLifeAtTheSameAddressTakesItsPredecessorsRangesAtOnce)
+{
+    auto members = membersNamed({ "a", "b" });
+    const auto table = firstTable("s", members);
+    members[0].server.startedMs = 2;
+    OwnServer own;
+    own.instance = "a";
+    own.life = members[0].server;
+    own.takesKeys = true;
+    own.isReleased = [](const stored::KeyRange&) { return false; };
+    own.handover = [](const stored::KeyRange&) { return std::string(); };
+    CHECK(!settleTable(*table, own, members).has_value());
+    own.isAloneAtAddress = true;
+    const auto settled = settleTable(*table, own, members);
+    CHECK(settled.has_value());
+    LONGS_EQUAL(2, settled->ranges.front().serverStartedMs);
+    CHECK(settled->ranges.front().fence > table->ranges.front().fence);
+    own.life->startedMs = 1;
+    CHECK(!settleTable(*settled, own, members).has_value());
+}
+
 TEST_GROUP(KeyHolder)
 {
     const ServerLife life { "server-a", 1 };
