Tests: a condition that was met is not asked again

Cause: runUntil() of the sidecar's tests asked its condition once more after it was met. The condition of AZoneThatIsTakenOutGetsNothingUntilItIsBack sends a request and looks where it ran, so the second asking failed whenever the other server was chosen. Ruled out: a late change of zones (the first asking had seen the request run in the zone). Change: the loop's last answer is the result; the check and the time are as they were.

--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -108,11 +108,13 @@
     bool runUntil(const std::function<bool()>& condition)
     {
         const TimePoint end = BootClock::now() + longTime;
-        while (!condition() && BootClock::now() < end) {
+        while (!condition()) {
+            if (BootClock::now() >= end)
+                return false;
             loop.restart();
             loop.run_one_for(Milliseconds(20));
         }
-        return condition();
+        return true;
     }
 
     HttpRequest cardRequest(int key)
