Keys: a lease that another writer spoiled no longer ends the process

Cause: the lease that a refused or applied write brings back was decoded without a guard; only listings were guarded. An object of another shape ended the sidecar (json out_of_range, shown by the new test first). Change: one function reads leases for all three places. A spoiled lease of another instance counts as renewed at its revision, so that a lost instance's keys are still taken over, by a write that replaces it; the own one is written anew. Tests: LeasesThatCannotBeReadAreSurvived (terminated before), OneThatWasSpoiledLastsAnotherTerm.

--- a/src/ownership/keylease.cpp
+++ b/src/ownership/keylease.cpp
@@ -80,6 +80,13 @@
     seen = { lease, revision, now };
 }
 
+void KeyLeaseWatch::observeUnreadable(const std::string& instance, int64_t revision, TimePoint now)
+{
+    const auto found = seen_.find(instance);
+    if (found != seen_.end())
+        observe(stored::KeyLease(found->second.lease), revision, now);
+}
+
 std::vector<KeyLeaseWatch::Expired> KeyLeaseWatch::expired(TimePoint now) const
 {
     std::vector<Expired> result;
--- a/src/ownership/keylease.h
+++ b/src/ownership/keylease.h
@@ -74,6 +74,9 @@
 
     void observe(const stored::KeyLease& lease, int64_t revision, TimePoint now);
 
+    // The instance's lease cannot be read: the last one that could counts as renewed.
+    void observeUnreadable(const std::string& instance, int64_t revision, TimePoint now);
+
     struct Expired {
         stored::KeyLease lease; // Marked as lapsed, to be written.
         int64_t expectedRevision = 0;
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -42,6 +42,18 @@
         return options;
     }
 
+    // Nothing when another writer has spoiled the object.
+    std::optional<stored::KeyLease> readLease(const StoreObject& object)
+    {
+        try {
+            return object.value.get<stored::KeyLease>();
+        } catch (const std::exception& error) {
+            log(LogLevel::Warning, "object-unreadable",
+                { { "kind", leaseKind }, { "name", object.name }, { "cause", error.what() } });
+            return std::nullopt;
+        }
+    }
+
 }
 
 KeyDuty::KeyDuty(KeyDutyOptions options)
@@ -165,8 +177,7 @@
         lease_.renewed(result.object->revision);
         if (!renewingSince_)
             renewingSince_ = BootClock::now();
-        leases_.observe(
-            result.object->value.get<stored::KeyLease>(), result.object->revision, BootClock::now());
+        observeLease(*result.object);
         if (lease_.needsConfirmation())
             confirmRanges();
         return;
@@ -176,9 +187,7 @@
         renewingSince_.reset();
         return lease_.failed();
     }
-    std::optional<stored::KeyLease> found;
-    if (result.object && result.object->value.is_object())
-        found = result.object->value.get<stored::KeyLease>();
+    const auto found = result.object ? readLease(*result.object) : std::nullopt;
     const bool isLost = lease_.conflicted(found, result.object ? result.object->revision : 0);
     if (isLost)
         log(LogLevel::Info, "lease-taken-anew",
@@ -227,21 +236,23 @@
         isListing_ = false;
         if (!page.ok())
             return;
-        const TimePoint now = BootClock::now();
-        for (const StoreObject& object : page->objects) {
-            try {
-                leases_.observe(object.value.get<stored::KeyLease>(), object.revision, now);
-            } catch (const std::exception& error) {
-                log(LogLevel::Warning, "object-unreadable",
-                    { { "kind", leaseKind }, { "name", object.name }, { "cause", error.what() } });
-            }
-        }
+        for (const StoreObject& object : page->objects)
+            observeLease(object);
         if (!mayBeStale)
             leasesRevision_ = page->revision;
         updateTable();
     });
 }
 
+void KeyDuty::observeLease(const StoreObject& object)
+{
+    const TimePoint now = BootClock::now();
+    if (const auto lease = readLease(object))
+        leases_.observe(*lease, object.revision, now);
+    else
+        leases_.observeUnreadable(object.name, object.revision, now);
+}
+
 void KeyDuty::lapseLeases(TimePoint now)
 {
     if (now >= grantableUntil() || !renewingSince_ || now - *renewingSince_ < returnTime)
@@ -259,8 +270,7 @@
                 lapsing_.erase(instance);
                 if (!result.object)
                     return;
-                leases_.observe(
-                    result.object->value.get<stored::KeyLease>(), result.object->revision, BootClock::now());
+                observeLease(*result.object);
                 updateTable();
             });
     }
--- a/src/sidecar/keyduty.h
+++ b/src/sidecar/keyduty.h
@@ -63,6 +63,7 @@
     void leaseWritten(const StoreWriteResult& result);
     void pollLeases(TimePoint now);
     void listLeases(bool mayBeStale);
+    void observeLease(const StoreObject& object);
     void lapseLeases(TimePoint now);
     void confirmRanges();
     void updateTable();
--- a/tests/ownership/keytable.cpp
+++ b/tests/ownership/keytable.cpp
@@ -338,3 +338,18 @@
     CHECK(watch.isFresh("a", start + timing.term));
     LONGS_EQUAL(1, watch.expired(start + timing.term * 102 / 100 + timing.margin).size());
 }
+
+TEST(KeyLease, OneThatWasSpoiledLastsAnotherTermAndEndsByItsNewRevision)
+{
+    KeyLeaseWatch watch(timing);
+    stored::KeyLease lease;
+    lease.instance = "a";
+    lease.lapsed = false;
+    watch.observe(lease, 5, start);
+    watch.observeUnreadable("a", 8, start + timing.term);
+    watch.observeUnreadable("unknown", 9, start + timing.term);
+    CHECK(watch.expired(start + timing.term * 102 / 100 + timing.margin).empty());
+    const auto expired = watch.expired(start + timing.term * 3);
+    LONGS_EQUAL(1, expired.size());
+    LONGS_EQUAL(8, expired.front().expectedRevision);
+}
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -219,6 +219,20 @@
     LONGS_EQUAL(200, statusOf(1, cardRequest(1)));
 }
 
+// Another writer has spoiled the leases: the own one is written anew, that of the other instance is ignored.
+TEST(Sidecar, LeasesThatCannotBeReadAreSurvived)
+{
+    begin({ "gallery", "gallery" });
+    store->put(leaseKind, "i0", { { "sequence", "none" } });
+    store->put(leaseKind, "i1", { { "sequence", "none" } });
+    CHECK(runUntil([this] {
+        return store->value(leaseKind, "i0").contains("incarnation")
+            && store->value(leaseKind, "i1").contains("incarnation");
+    }));
+    for (const int key : { 0, 65'535 })
+        LONGS_EQUAL(200, statusOf(0, cardRequest(key)));
+}
+
 TEST(Sidecar, UnknownKeysAndRoutesAreTold)
 {
     begin({ "orders" });
