--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -1,15 +1,18 @@
 #pragma once
 
+#include "base/histogram.h"
+
 #include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace persimmonfield {
 
-// The named counters and gauges of one process, written out in the usual text exposition.
+// The named counters, gauges and latency histograms of one process, written out in the usual text exposition.
 class Counters {
 public:
     using Value = std::atomic<int64_t>;
@@ -18,12 +21,17 @@
     // reference stays valid as long as this object.
     Value& counter(std::string_view name, std::string_view label = {}, std::string_view labelValue = {});
 
-    // All counters, one a line, in the order of their names.
+    // The histogram of that name and label value, on the same terms.
+    Histogram& histogram(
+        std::string_view name, std::string_view label = {}, std::string_view labelValue = {});
+
+    // All counters, one a line, in the order of their names; then the histograms.
     std::string exposition() const;
 
 private:
     mutable std::mutex mutex_;
     std::map<std::string, Value> values_;
+    std::map<std::pair<std::string, std::string>, Histogram> histograms_; // By name and label.
 };
 
 }
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -398,13 +398,15 @@
             reply.retryAfter = usualRetryAfter;
         options_.counters->counter("refusals_total", "reason", refusalToken(reply.reason))++;
     }
+    const Duration took = BootClock::now() - passage->arrived;
+    options_.counters->histogram("request_seconds", "service", passage->routed.service).observe(took);
     log(LogLevel::Info, "request",
         { { "request", passage->id }, { "route", passage->routed.routeName },
             { "team", passage->routed.team }, { "key", passage->routed.partition },
             { "servers", passage->arrivals }, { "gates", passage->gates }, { "status", reply.status },
             { "outcome", reply.isAnswer ? "answered" : std::string(refusalToken(reply.reason)) },
             { "isNotRun", reply.isNotRun() }, { "cause", reply.detail },
-            { "tookMs", toMilliseconds(BootClock::now() - passage->arrived).count() } });
+            { "tookMs", toMilliseconds(took).count() } });
     passage->exchange->respond(options_.edges->writeReply(reply, passage->id));
 }
 
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -263,6 +263,7 @@
     const Duration work = now - running.began;
     if (result.outcome == CallOutcome::NotSent)
         unreachableUntil_ = now + unreachablePause;
+    options_.counters->histogram("server_call_seconds").observe(work);
     Reply reply = replyOf(std::move(result));
     if (reply.isAnswer)
         noteWork(running.call.request.route, work);
--- a/tests/base/base.cpp
+++ b/tests/base/base.cpp
@@ -48,6 +48,21 @@
     STRCMP_EQUAL("persimmonfield_refusals_total{reason=\"no-key\"} 2\n", counters.exposition().c_str());
 }
 
+TEST(Base, HistogramsAreWrittenAsCumulativeBuckets)
+{
+    Counters counters;
+    Histogram& histogram = counters.histogram("request_seconds", "service", "orders");
+    for (const int milliseconds : { 1, 3, 20, 60'000 })
+        histogram.observe(Milliseconds(milliseconds));
+    const std::string text = counters.exposition();
+    for (const char* line : { "persimmonfield_request_seconds_bucket{service=\"orders\",le=\"0.001\"} 1\n",
+             "_bucket{service=\"orders\",le=\"0.005\"} 2\n", "_bucket{service=\"orders\",le=\"0.02\"} 3\n",
+             "_bucket{service=\"orders\",le=\"10\"} 3\n", "_bucket{service=\"orders\",le=\"+Inf\"} 4\n",
+             "persimmonfield_request_seconds_sum{service=\"orders\"} 60.024\n",
+             "persimmonfield_request_seconds_count{service=\"orders\"} 4\n" })
+        STRCMP_CONTAINS(line, text.c_str());
+}
+
 TEST(Base, ATimelineNeverGoesBackAndKeepsTheNewest)
 {
     setLogLevel(LogLevel::Error);
