Keys: a server's report waits for keys that are under way to it

Cause: a range that moves is let go with one server's report and granted with the next report of the other server, which comes up to a report interval (here 870 ms) later. Requests for it wait half their objective at most and are then refused. Ruled out: the store (a write takes 4 ms, the other instance hears of it in 5 ms). Change: while a range is on its way to the own server, the answer to its report waits up to two thirds of the time after which the server takes the report for lost; what is let go meanwhile is granted with that answer. Never for a server that leaves or has to let keys go itself. A change of a team's rate is logged. Left of that cause: the time from a release to its report, 100 ms.

--- a/src/limits/teambuckets.cpp
+++ b/src/limits/teambuckets.cpp
@@ -46,10 +46,16 @@
     instances_ = static_cast<double>(std::max<size_t>(1, instances));
 }
 
+const TeamRate* TeamBuckets::rate(const std::string& team) const
+{
+    const auto found = rates_.find(team);
+    return found == rates_.end() ? nullptr : &found->second;
+}
+
 bool TeamBuckets::isLimited(const std::string& team) const
 {
-    const auto rate = rates_.find(team);
-    return rate != rates_.end() && rate->second.perSecond > 0;
+    const TeamRate* known = rate(team);
+    return known && known->perSecond > 0;
 }
 
 double TeamBuckets::capacity(const TeamRate& rate) const
--- a/src/limits/teambuckets.h
+++ b/src/limits/teambuckets.h
@@ -27,6 +27,9 @@
     // The number of instances among which the rates are divided.
     void setInstances(size_t instances);
 
+    // The team's rate; null when it has none.
+    const TeamRate* rate(const std::string& team) const;
+
     // Whether the team has a rate at all.
     bool isLimited(const std::string& team) const;
 
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -16,8 +16,10 @@
     constexpr Milliseconds pollInterval { 1'500 };
     // A first table waits until all who start together have reported.
     constexpr Milliseconds settleTime { 1'500 };
-    // A report is acknowledged well within the second after which the server takes it for lost.
-    constexpr Milliseconds longestDefer { 250 };
+    // A server without keys is not kept waiting longer for its first.
+    constexpr Milliseconds firstKeysPatience { 250 };
+    // A report is answered within this part of the time after which the server takes it for lost.
+    constexpr double deferrablePart = 2.0 / 3;
     constexpr Milliseconds tableRetryPause { 300 };
     // After a write that somebody else's came before: a pause of that time, spread by so many milliseconds.
     constexpr Milliseconds conflictPause { 20 };
@@ -107,10 +109,11 @@
     isAloneAtAddress_ = report.address == options_.settings.serverAddress.text();
     renewLease(BootClock::now());
     KeyAnswer answer = answerNow(report);
-    if (!answer.grants.empty() || !report.holds.empty() || !mayGrantSoon())
+    const Duration patience = deferTime(report, answer);
+    if (patience <= Duration::zero())
         return done(std::move(answer));
-    deferred_ = Deferred { std::make_shared<ServerReport>(report), done };
-    deferTimer_.expires_after(longestDefer);
+    deferred_ = Deferred { std::make_shared<ServerReport>(report), done, ownRangeCount() };
+    deferTimer_.expires_after(patience);
     deferTimer_.async_wait([this](std::error_code error) {
         if (!error)
             answerDeferred();
@@ -123,6 +126,60 @@
     return pendingTable_ || isConfirming_ || lease_.needsConfirmation();
 }
 
+// Whether another instance is about to let a range go that the own server is to have.
+bool KeyDuty::isAwaitingRange() const
+{
+    const auto* known = options_.directory->keyTable(options_.settings.service);
+    if (!known)
+        return false;
+    const auto& ranges = known->value.ranges;
+    return std::any_of(ranges.begin(), ranges.end(), [this](const stored::KeyRange& range) {
+        return isOwned(range) && range.target == options_.settings.name
+            && range.instance != options_.settings.name;
+    });
+}
+
+size_t KeyDuty::ownRangeCount() const
+{
+    const auto* known = options_.directory->keyTable(options_.settings.service);
+    if (!known)
+        return 0;
+    const auto& ranges = known->value.ranges;
+    return static_cast<size_t>(
+        std::count_if(ranges.begin(), ranges.end(), [this](const stored::KeyRange& range) {
+            return isOwned(range) && range.instance == options_.settings.name;
+        }));
+}
+
+// How long the answer waits for keys that the server may be given by then: what is let go elsewhere while the
+// answer waits is granted at once, instead of with the next report. Zero where the server has to let keys go
+// itself, or leaves.
+Duration KeyDuty::deferTime(const ServerReport& report, const KeyAnswer& answer) const
+{
+    if (report.isDraining)
+        return Duration::zero();
+    if (answer.grants.empty() && report.holds.empty() && mayGrantSoon())
+        return firstKeysPatience;
+    const bool letsGo
+        = std::any_of(report.holds.begin(), report.holds.end(), [&answer](const KeyGrant& held) {
+              return std::none_of(answer.grants.begin(), answer.grants.end(), [&held](const KeyGrant& grant) {
+                  return grant.first <= held.first && held.last <= grant.last;
+              });
+          });
+    if (letsGo || !isAwaitingRange())
+        return Duration::zero();
+    return std::chrono::duration_cast<Duration>(options_.settings.reportPatience * deferrablePart);
+}
+
+void KeyDuty::answerDeferredIfDue()
+{
+    if (!deferred_ || mayGrantSoon())
+        return;
+    const bool hasNewRange = ownRangeCount() > deferred_->ownRanges;
+    if (hasNewRange || !isAwaitingRange())
+        answerDeferred();
+}
+
 void KeyDuty::answerDeferred()
 {
     if (const auto deferred = std::exchange(deferred_, std::nullopt)) {
@@ -215,8 +272,7 @@
         lease_.confirmed();
         options_.onChange();
         updateTable();
-        if (!mayGrantSoon())
-            answerDeferred();
+        answerDeferredIfDue();
     });
 }
 
@@ -279,6 +335,7 @@
 void KeyDuty::onDirectoryChange()
 {
     updateTable();
+    answerDeferredIfDue();
 }
 
 // The first instance by name that lives and holds a lease plans for the service.
@@ -449,8 +506,7 @@
     }
     options_.onChange();
     updateTable();
-    if (!mayGrantSoon())
-        answerDeferred();
+    answerDeferredIfDue();
 }
 
 }
--- a/src/sidecar/keyduty.h
+++ b/src/sidecar/keyduty.h
@@ -45,8 +45,8 @@
 
     void start();
 
-    // Calls `done` with what the server is to hold. Waits a little where a write under way may give it its
-    // first keys, so that it need not wait for its next report.
+    // Calls `done` with what the server is to hold. Waits where it may be given keys soon, so that it need
+    // not report again for them.
     void answer(const ServerReport& report, const std::function<void(KeyAnswer)>& done);
     bool mayRun(int key, TimePoint now) const { return holder_.mayRun(key, now); }
 
@@ -79,6 +79,10 @@
     stored::KeyTable grantableTable() const;
     KeyAnswer answerNow(const ServerReport& report);
     bool mayGrantSoon() const;
+    bool isAwaitingRange() const;
+    size_t ownRangeCount() const;
+    Duration deferTime(const ServerReport& report, const KeyAnswer& answer) const;
+    void answerDeferredIfDue();
     void answerDeferred();
     TimePoint grantableUntil() const;
 
@@ -105,6 +109,7 @@
     struct Deferred {
         std::shared_ptr<ServerReport> report;
         std::function<void(KeyAnswer)> done;
+        size_t ownRanges = 0; // In the table when it came.
     };
     std::optional<Deferred> deferred_;
     bool isAloneAtAddress_ = false;
--- a/src/sidecar/sidecarsettings.h
+++ b/src/sidecar/sidecarsettings.h
@@ -20,9 +20,9 @@
     Address storeAddress;
     Address metricsAddress; // Without a port where none is wanted.
     Milliseconds reportInterval { 1'000 };
-    Milliseconds drainTime {
-        2'000
-    }; // How long a leaving server may be given work after the acknowledgement.
+    Milliseconds reportPatience { 1'000 }; // A server takes a report for lost that is not answered by then.
+    // How long a leaving server may be given work after the acknowledgement.
+    Milliseconds drainTime { 2'000 };
     Milliseconds stopTime { 6'000 }; // Between the signal to stop and the end by force.
     double retryShare = 0.1; // Retries by requests, over the fleet.
     int retryReserve = 20; // Retries in a window beyond that share, over the fleet.
--- a/src/sidecar/teamlimits.cpp
+++ b/src/sidecar/teamlimits.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/teamlimits.h"
 
+#include "base/logger.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -41,6 +43,13 @@
         if (team.ratePerSecond > 0)
             rates[name] = { team.ratePerSecond, team.burst };
     }
+    for (const auto& [name, rate] : rates) {
+        const TeamRate* before = buckets_.rate(name);
+        if (before && (before->perSecond != rate.perSecond || before->burst != rate.burst))
+            log(LogLevel::Info, "team-rate-changed",
+                { { "team", name }, { "perSecond", rate.perSecond }, { "burst", rate.burst },
+                    { "before", before->perSecond } });
+    }
     buckets_.setRates(std::move(rates), BootClock::now());
 }
 
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -48,6 +48,7 @@
     settings.serverAddress = { "127.0.0.1", port + 4 };
     settings.storeAddress = storeAddress;
     settings.reportInterval = Milliseconds(300);
+    settings.reportPatience = longTime;
     settings.stopTime = Milliseconds(4'000);
     return settings;
 }
@@ -117,6 +118,12 @@
         return true;
     }
 
+    void runFor(Milliseconds time)
+    {
+        const TimePoint until = BootClock::now() + time;
+        CHECK(runUntil([until] { return BootClock::now() >= until; }));
+    }
+
     HttpRequest cardRequest(int key)
     {
         return { "GET", "/cards/1",
@@ -201,12 +208,35 @@
     LONGS_EQUAL(200, statusOf(0, cardRequest(0)));
 }
 
+// The next owner's server reports while the present one still holds the keys, and not again.
+TEST(Sidecar, MovedKeysAreGrantedWithTheReportThatCameBeforeTheirRelease)
+{
+    begin({ "gallery", "gallery" });
+    serverOf(0).stopReports();
+    serverOf(1).stopReports();
+    CHECK(runUntil([this] { return serverOf(1).isReportAnswered(); }));
+    serverOf(0).setDraining();
+    serverOf(0).report();
+    // The other instance knows of the move once it keeps a report waiting.
+    for (int i = 0; i < 20 && serverOf(1).isReportAnswered(); ++i) {
+        serverOf(1).report();
+        runFor(Milliseconds(100));
+    }
+    CHECK(!serverOf(1).isReportAnswered());
+    const int64_t reports = serverOf(1).reports();
+    CHECK(runUntil([this] {
+        if (serverOf(0).isReportAnswered())
+            serverOf(0).report();
+        return serverOf(1).holds(0) && serverOf(1).holds(65'535);
+    }));
+    LONGS_EQUAL(reports, serverOf(1).reports());
+}
+
 TEST(Sidecar, KeysStayServedWhileTheStoreIsAway)
 {
     begin({ "gallery", "orders" });
     store->setDown(true);
-    const TimePoint until = BootClock::now() + Milliseconds(1'500);
-    CHECK(runUntil([until] { return BootClock::now() >= until; }));
+    runFor(Milliseconds(1'500));
     LONGS_EQUAL(200, statusOf(1, cardRequest(1)));
     store->setDown(false);
     LONGS_EQUAL(200, statusOf(1, cardRequest(1)));
@@ -316,8 +346,7 @@
     CHECK(runUntil([this] { return runsOfAll() == 1; }));
     bool isStopped = false;
     instances[0]->sidecar->stop([&isStopped] { isStopped = true; });
-    const TimePoint until = BootClock::now() + Milliseconds(200);
-    CHECK(runUntil([until] { return BootClock::now() >= until; }));
+    runFor(Milliseconds(200));
     serverOf(0).answerHeld();
     serverOf(1).answerHeld();
     CHECK(runUntil([&result] { return result.has_value(); }));
--- a/tests/sidecar/standins.cpp
+++ b/tests/sidecar/standins.cpp
@@ -11,7 +11,8 @@
     using nlohmann::json;
 
     constexpr Milliseconds reportInterval { 100 };
-    constexpr Milliseconds callTimeout { 1'000 };
+    // Longer than any answer is deferred in the tests.
+    constexpr Milliseconds callTimeout { 20'000 };
 
     std::string queryValue(const std::string& target, const std::string& name)
     {
@@ -177,8 +178,10 @@
     const json body { { "service", service_ }, { "slots", 2 },
         { "state", isDraining_ ? "draining" : "ready" }, { "warmupLeft", "0ms" }, { "sequence", ++sequence_ },
         { "born", 17 }, { "holds", holds }, { "released", std::exchange(released_, json::array()) } };
+    ++openReports_;
     client_.call(
         { "PUT", "/instances/" + id_, {}, body.dump() }, callTimeout, [this](const CallResult& result) {
+            --openReports_;
             if (result.outcome == CallOutcome::Answered && result.response.status == 200)
                 take(result.response.body);
         });
--- a/tests/sidecar/standins.h
+++ b/tests/sidecar/standins.h
@@ -73,6 +73,8 @@
         const Address& reportAddress);
 
     void report();
+    // Reports only when told to.
+    void stopReports() { timer_.cancel(); }
     void setDraining() { isDraining_ = true; }
     // Answers requests only when told to.
     void holdAnswers(bool isHolding) { isHolding_ = isHolding; }
@@ -80,6 +82,8 @@
     void stop();
 
     const std::vector<HttpRequest>& runs() const { return runs_; }
+    int64_t reports() const { return sequence_; }
+    bool isReportAnswered() const { return openReports_ == 0; }
     const std::string& id() const { return id_; }
     bool holds(int key) const;
     int64_t holdsCount() const { return static_cast<int64_t>(holds_.size()); }
@@ -95,6 +99,7 @@
     HttpClient client_;
     asio::steady_timer timer_;
     int64_t sequence_ = 0;
+    int openReports_ = 0;
     bool isDraining_ = false;
     bool isHolding_ = false;
     bool isStopped_ = false;
