Routing: a near server is always one of the two candidates

Two candidates drawn from all servers of three zones leave the near one out in four cases of nine, whatever the distance costs. Change: one candidate is drawn from the nearest servers; a server in another zone costs 1.5 times, not 1.25.

--- a/src/routing/serverchoice.cpp
+++ b/src/routing/serverchoice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <limits>
 #include <utility>
 
 namespace persimmonfield {
@@ -56,11 +58,23 @@
     const std::vector<InstanceId>& pool = fit.empty() ? unfit : fit;
     if (pool.empty())
         return std::nullopt;
-    const InstanceId& first = pool[random_() % pool.size()];
+    const std::vector<InstanceId> near = nearest(pool);
+    const InstanceId& first = near[random_() % near.size()];
     const InstanceId& second = pool[random_() % pool.size()];
     return cost(first, now) <= cost(second, now) ? first : second;
 }
 
+std::vector<InstanceId> ServerChoice::nearest(const std::vector<InstanceId>& pool)
+{
+    double least = std::numeric_limits<double>::max();
+    for (const InstanceId& server : pool)
+        least = std::min(least, observed_[server].distance);
+    std::vector<InstanceId> result;
+    std::copy_if(pool.begin(), pool.end(), std::back_inserter(result),
+        [this, least](const InstanceId& server) { return observed_[server].distance <= least; });
+    return result;
+}
+
 double ServerChoice::cost(const InstanceId& server, TimePoint now)
 {
     const Observed& observed = observed_[server];
--- a/src/routing/serverchoice.h
+++ b/src/routing/serverchoice.h
@@ -68,6 +68,7 @@
         bool isSuspect = false; // Left out, and no good sample since.
     };
 
+    std::vector<InstanceId> nearest(const std::vector<InstanceId>& pool);
     double cost(const InstanceId& server, TimePoint now);
     static double loadFactor(const Observed& observed, TimePoint now);
     bool isFit(const InstanceId& server, TimePoint now);
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -33,7 +33,7 @@
     constexpr int usualLatencyWeight = 32;
     constexpr Duration comparedLatency = Milliseconds(100);
     // A server in another availability zone is worth its way only when it is so much less busy.
-    constexpr double otherZoneCost = 1.25;
+    constexpr double otherZoneCost = 1.5;
     constexpr double wholePercent = 100;
 
     ServerChoice::Load loadOf(const peer::ServerLoad& load)
--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -208,3 +208,22 @@
     CHECK(choice.choose({ only }, {}, now).has_value());
     CHECK_FALSE(choice.choose({ only }, { only }, now).has_value());
 }
+
+// Two random candidates would leave out the one near server in four cases of nine.
+TEST(ServerChoice, ANearServerIsAlwaysACandidateAndGivesWayWhenItIsBusy)
+{
+    auto engine = std::make_shared<std::mt19937_64>(1);
+    ServerChoice choice([engine] { return (*engine)(); });
+    const InstanceId near { "near", "1" };
+    const std::vector<InstanceId> servers { near, { "far-a", "1" }, { "far-b", "1" } };
+    choice.setDistance(servers[1], 1.5);
+    choice.setDistance(servers[2], 1.5);
+    const TimePoint now { std::chrono::hours(1) };
+    for (int i = 0; i < 100; ++i)
+        CHECK(*choice.choose(servers, {}, now) == near);
+    choice.began(near);
+    int elsewhere = 0;
+    for (int i = 0; i < 100; ++i)
+        elsewhere += *choice.choose(servers, {}, now) == near ? 0 : 1;
+    CHECK(elsewhere > 50);
+}
