--- a/src/limits/teambuckets.cpp
+++ b/src/limits/teambuckets.cpp
@@ -11,6 +11,8 @@
     constexpr double millisecondsPerSecond = 1e3;
     // An earlier run of this instance may have spent all: a bucket begins with next to nothing.
     constexpr double firstLevel = 1;
+    // The other half of the slack covers instances that begin anew after they spent theirs.
+    constexpr double depthPartOfSlack = 0.5;
     // Tokens beyond the own capacity that may be kept for requests to come.
     constexpr double mostStock = 3;
     // What this instance uses itself within this time is not lent.
@@ -60,7 +62,7 @@
 
 double TeamBuckets::capacity(const TeamRate& rate) const
 {
-    return std::max(1.0, static_cast<double>(rate.burst) / instances_);
+    return std::max(1.0, (static_cast<double>(rate.burst) + slack_ * depthPartOfSlack) / instances_);
 }
 
 TeamBuckets::Bucket& TeamBuckets::filled(const std::string& team, TimePoint now)
--- a/src/limits/teambuckets.h
+++ b/src/limits/teambuckets.h
@@ -16,8 +16,9 @@
 };
 
 // This instance's part of each team's rate: a token bucket with the rate and burst divided by the number of
-// instances. Tokens move between instances only by being taken out of one bucket and put into another, so the
-// sum over the fleet holds whatever is lost, and also while instances cannot talk to one another. Pure.
+// instances, and as much deeper as its part of the slack. Tokens move between instances only by being taken
+// out of one bucket and put into another, so the sum over the fleet holds whatever is lost, and also while
+// instances cannot talk to one another. Pure.
 class TeamBuckets {
 public:
     // Replaces all rates; what is left of a team's tokens stays, up to the new burst. The bucket of a new
@@ -27,6 +28,9 @@
     // The number of instances among which the rates are divided.
     void setInstances(size_t instances);
 
+    // Requests by which the fleet may exceed a team's burst because many instances keep its rate.
+    void setSlack(int64_t requests) { slack_ = static_cast<double>(requests); }
+
     // The team's rate; null when it has none.
     const TeamRate* rate(const std::string& team) const;
 
@@ -62,6 +66,7 @@
 
     std::map<std::string, TeamRate> rates_;
     double instances_ = 1;
+    double slack_ = 0;
     std::map<std::string, Bucket> buckets_; // By team.
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -80,6 +80,7 @@
     peers_ = std::make_unique<PeerCalls>(*network_);
     peerGate_ = std::make_unique<PeerGate>(*gate_, *network_);
     limits_ = std::make_unique<TeamLimits>(loop_, settings_.name, directory_, *network_, counters_);
+    limits_->setSlack(settings_.rateSlack);
     ingress_ = std::make_unique<Ingress>(IngressOptions { &loop_, &edges_, settings_, &counters_, &directory_,
         gate_.get(), peers_.get(), limits_.get(), &loads_ });
     transport_.setReachableHandler(
--- a/src/sidecar/sidecarsettings.h
+++ b/src/sidecar/sidecarsettings.h
@@ -26,8 +26,8 @@
     Milliseconds stopTime { 6'000 }; // Between the signal to stop and the end by force.
     double retryShare = 0.1; // Retries by requests, over the fleet.
     int retryReserve = 20; // Retries in a window beyond that share, over the fleet.
-    Milliseconds retryWindow { 10'000 };
-    bool isRangeKeyed = false;
+    // Requests by which the fleet may exceed a team's burst, as many instances keep its rate.
+    int rateSlack = 0;
 };
 
 }
--- a/src/sidecar/teamlimits.h
+++ b/src/sidecar/teamlimits.h
@@ -32,6 +32,8 @@
 
     void setConfiguration(const Configuration& configuration);
     void setInstances(size_t instances) { buckets_.setInstances(instances); }
+    // Requests by which the fleet may exceed a team's burst.
+    void setSlack(int64_t requests) { buckets_.setSlack(requests); }
 
     // Charges one request; `done` may be called before the return.
     void charge(const std::string& team, const Done& done);
--- a/tests/limits/teambuckets.cpp
+++ b/tests/limits/teambuckets.cpp
@@ -78,6 +78,41 @@
     CHECK(admitted >= 850);
 }
 
+// Admissions of a small team whose requests come anywhere at random, with one token borrowed from the first
+// that has one; with one instance this is a plain bucket.
+int64_t admittedAtRandom(size_t instances, int64_t slack)
+{
+    std::vector<TeamBuckets> fleet(instances, bucketsFor({ 10, 10 }, instances));
+    for (TeamBuckets& each : fleet)
+        each.setSlack(slack);
+    std::mt19937_64 random(7);
+    std::exponential_distribution<double> gap(8);
+    std::chrono::duration<double> passed(1);
+    int64_t admitted = 0;
+    for (int i = 0; i < 800; ++i) {
+        passed += std::chrono::duration<double>(gap(random));
+        const TimePoint now = start + std::chrono::duration_cast<Duration>(passed);
+        TeamBuckets& one = fleet[random() % instances];
+        bool isAdmitted = one.trySpend(team, now);
+        for (size_t lender = 0; lender < instances && !isAdmitted; ++lender) {
+            one.add(team, fleet[lender].lend(team, 1, now), now);
+            isAdmitted = one.trySpend(team, now);
+        }
+        admitted += isAdmitted ? 1 : 0;
+    }
+    return admitted;
+}
+
+TEST(TeamBuckets, SlackMakesUpForTheRatesDivision)
+{
+    const int64_t undivided = admittedAtRandom(1, 0);
+    const int64_t lostWithout = undivided - admittedAtRandom(12, 0);
+    const int64_t lostWith = undivided - admittedAtRandom(12, 20);
+    CHECK(lostWithout > 0);
+    // Four fifths at least of what the division costs.
+    CHECK(lostWith * 5 <= lostWithout);
+}
+
 TEST(TeamBuckets, ABucketFillsFromWhenItsRateIsKnown)
 {
     TeamBuckets buckets = bucketsFor({ 90, 90 }, 9);
