Limits: whole tokens are lent also from buckets that hold little more than one

Cause: an instance kept what it would use in 0.2 s and lent whole tokens of the rest; of a bucket with one token and a use of 0.7 a second nothing was left to lend, while requests elsewhere were refused. Change: what is kept counts in whole tokens. Test: TheOneTokenOfASmallBucketIsLentThoughItsInstanceUsesSome (failed before).

--- a/src/limits/teambuckets.cpp
+++ b/src/limits/teambuckets.cpp
@@ -105,9 +105,9 @@
     if (!isLimited(team))
         return 0;
     Bucket& bucket = filled(team, now);
-    const double spare = bucket.level - bucket.usedPerSecond * keptSeconds;
-    const auto lent
-        = std::clamp<int64_t>(static_cast<int64_t>(std::floor(spare)), 0, std::max<int64_t>(0, wanted));
+    // Whole tokens on both sides: a bucket may hold little more than one.
+    const double spare = std::floor(bucket.level) - std::floor(bucket.usedPerSecond * keptSeconds);
+    const auto lent = std::clamp<int64_t>(static_cast<int64_t>(spare), 0, std::max<int64_t>(0, wanted));
     bucket.level -= static_cast<double>(lent);
     return lent;
 }
--- a/tests/limits/teambuckets.cpp
+++ b/tests/limits/teambuckets.cpp
@@ -141,3 +141,16 @@
         ++admitted;
     CHECK(admitted <= 5);
 }
+
+TEST(TeamBuckets, TheOneTokenOfASmallBucketIsLentThoughItsInstanceUsesSome)
+{
+    TeamBuckets buckets = bucketsFor({ 10, 10 }, 12);
+    TimePoint now = start;
+    for (int i = 0; i < 10; ++i) {
+        now += Milliseconds(1'300);
+        CHECK(buckets.trySpend(team, now));
+    }
+    now += Milliseconds(1'300);
+    LONGS_EQUAL(1, buckets.lend(team, 1, now));
+    LONGS_EQUAL(0, buckets.lend(team, 1, now));
+}
