Sidecar: replies to and from links in one place, candidates follow the directory, budgets the fleet

Test: ReplyMessage. - A request on its way kept two numbers and a flag to know whether its last send was replied to; one flag tells it. - The servers that a request may go to were listed anew for each request, with their distances; they are kept until the directory or the zones change. - Fault: the reserve of retries was divided by the number of instances known when a service was first asked for. An instance that got a request before it had listed the fleet kept nearly the whole reserve for itself. It follows the fleet now. Test: ASmallerReserveTakesWhatWasSavedBeyondIt.

--- a/src/daemon/forwarder.cpp
+++ b/src/daemon/forwarder.cpp
@@ -146,24 +146,13 @@
     if (state == AssemblyState::Broken)
         return call.group->end(
             call.copy, unknownOutcome(RefusalReason::AnswerLost, "the answer was cut off"));
-    Reply reply;
-    reply.isAnswer = true;
-    reply.status = static_cast<int>(call.answer->status);
-    reply.headers = std::move(call.answer->headers);
-    reply.body = call.body.takeBody();
-    call.group->end(call.copy, std::move(reply));
+    call.group->end(call.copy, replyFrom(*std::move(call.answer), call.body.takeBody()));
 }
 
 void Forwarder::onRefusal(LinkId link, const peer::Refusal& refusal)
 {
-    const auto call = take({ link, refusal.id });
-    if (!call)
-        return;
-    Reply reply;
-    reply.outcome = refusal.outcome;
-    reply.reason = refusalReason(refusal.reason);
-    reply.detail = refusal.detail;
-    call->group->end(call->copy, std::move(reply));
+    if (const auto call = take({ link, refusal.id }))
+        call->group->end(call->copy, replyFrom(refusal));
 }
 
 void Forwarder::onClosed(LinkId link, bool wasOpen)
--- a/src/daemon/gateway.cpp
+++ b/src/daemon/gateway.cpp
@@ -155,23 +155,11 @@
 void Gateway::send(const Outgoing& outgoing) const
 {
     const Reply& reply = outgoing.reply;
-    peer::PeerMessage message;
+    const peer::PeerMessage message = replyMessage(outgoing.id, reply);
     if (!reply.isAnswer) {
-        peer::Refusal refusal {};
-        refusal.id = outgoing.id;
-        refusal.outcome = reply.outcome;
-        refusal.reason = std::string(refusalToken(reply.reason));
-        refusal.detail = reply.detail;
-        message.refusal = refusal;
         options_.network->send(outgoing.link, { message, {} });
         return;
     }
-    peer::ForwardedAnswer answer {};
-    answer.id = outgoing.id;
-    answer.status = reply.status;
-    answer.headers = reply.headers;
-    answer.bodyLength = static_cast<int64_t>(reply.body.size());
-    message.forwardedAnswer = answer;
     const TimePoint deadline = BootClock::now() + sendPatience;
     sendWithBody(*options_.network, outgoing.link, message, reply.body, outgoing.id, deadline);
 }
--- a/src/messages/reply.cpp
+++ b/src/messages/reply.cpp
@@ -73,6 +73,49 @@
     return RefusalReason::Internal;
 }
 
+peer::PeerMessage replyMessage(int64_t id, const Reply& reply)
+{
+    peer::PeerMessage message;
+    if (reply.isAnswer) {
+        message.forwardedAnswer = peer::ForwardedAnswer {};
+        peer::ForwardedAnswer& answer = *message.forwardedAnswer;
+        answer.id = id;
+        answer.status = reply.status;
+        answer.headers = reply.headers;
+        answer.bodyLength = static_cast<int64_t>(reply.body.size());
+        answer.load = reply.load;
+        return message;
+    }
+    message.refusal = peer::Refusal {};
+    peer::Refusal& refusal = *message.refusal;
+    refusal.id = id;
+    refusal.outcome = reply.outcome;
+    refusal.reason = std::string(refusalToken(reply.reason));
+    refusal.detail = reply.detail;
+    refusal.retryAfterMs = reply.retryAfter.count();
+    refusal.load = reply.load;
+    return message;
+}
+
+Reply replyFrom(const peer::Refusal& refusal)
+{
+    Reply reply = refuse(refusal.outcome, refusalReason(refusal.reason), refusal.detail);
+    reply.retryAfter = std::chrono::milliseconds(refusal.retryAfterMs);
+    reply.load = refusal.load;
+    return reply;
+}
+
+Reply replyFrom(peer::ForwardedAnswer answer, std::string body)
+{
+    Reply reply;
+    reply.isAnswer = true;
+    reply.status = static_cast<int>(answer.status);
+    reply.headers = std::move(answer.headers);
+    reply.body = std::move(body);
+    reply.load = answer.load;
+    return reply;
+}
+
 Reply notRun(RefusalReason reason, std::string detail)
 {
     return refuse(peer::Outcome::NotRun, reason, std::move(detail));
--- a/src/messages/reply.h
+++ b/src/messages/reply.h
@@ -65,6 +65,13 @@
     bool isNotRun() const { return !isAnswer && outcome == peer::Outcome::NotRun; }
 };
 
+// The message that carries the reply to the request `id` to another instance; an answer's body goes with it.
+peer::PeerMessage replyMessage(int64_t id, const Reply& reply);
+
+// The reply that another instance sent.
+Reply replyFrom(const peer::Refusal& refusal);
+Reply replyFrom(peer::ForwardedAnswer answer, std::string body);
+
 // A refusal of a request that certainly did not run.
 Reply notRun(RefusalReason reason, std::string detail = {});
 
--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -15,6 +15,13 @@
     {
     }
 
+    // The reserve has become another one; what is saved beyond it is lost.
+    void setMostLevel(double mostLevel)
+    {
+        mostLevel_ = mostLevel;
+        level_ = std::min(level_, mostLevel);
+    }
+
     // One request of the normal traffic was sent.
     void noteRequest() { level_ = std::min(mostLevel_, level_ + shareOfTraffic_); }
 
--- a/src/sidecar/fleetdirectory.cpp
+++ b/src/sidecar/fleetdirectory.cpp
@@ -50,6 +50,7 @@
 
 void FleetDirectory::apply(const StorePage& page, bool isWhole)
 {
+    ++version_;
     if (isWhole) {
         // Own writes may be newer than the listing.
         const auto isGone = [&page](const std::string& object, int64_t revision) {
--- a/src/sidecar/fleetdirectory.h
+++ b/src/sidecar/fleetdirectory.h
@@ -44,12 +44,16 @@
 
     bool isLoaded() const { return isLoaded_; }
 
+    // Rises with each change, so that what was derived from the directory can be kept until then.
+    int64_t version() const { return version_; }
+
 private:
     void applyObject(const StoreObject& object);
 
     Instances instances_;
     std::map<std::string, Versioned<stored::KeyTable>> tables_; // By service.
     bool isLoaded_ = false;
+    int64_t version_ = 1;
 };
 
 }
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -76,8 +76,7 @@
     int gates = 0; // That turned it away.
     bool mayHaveRun = false;
     bool isWaiting = false; // For an owner or a server.
-    int64_t sends = 0;
-    int64_t lastReplied = 0; // The number of the last send that was replied to.
+    bool isSendOpen = false; // Whether the last send was not replied to yet.
     bool isOver = false;
     std::vector<InstanceId> tried;
     std::function<void()> cancelCall; // Null while nothing is under way.
@@ -192,16 +191,12 @@
 {
     if (passage.routed.partition >= 0)
         return ownerOf(passage);
-    const std::vector<Target> targets = serversOf(passage.routed.service);
-    std::vector<InstanceId> servers;
-    servers.reserve(targets.size());
-    for (const Target& target : targets)
-        servers.push_back(target.server);
-    const auto chosen = choiceOf(passage.routed.service).choose(servers, passage.tried, BootClock::now());
+    const Candidates& candidates = candidatesOf(passage.routed.service);
+    const auto chosen
+        = choiceOf(passage.routed.service).choose(candidates.servers, passage.tried, BootClock::now());
     if (!chosen)
         return std::nullopt;
-    return *std::find_if(
-        targets.begin(), targets.end(), [&chosen](const Target& target) { return target.server == *chosen; });
+    return Target { *chosen, candidates.peerAddresses.at(chosen->name) };
 }
 
 std::optional<Ingress::Target> Ingress::ownerOf(const Passage& passage) const
@@ -219,9 +214,21 @@
     return Target { { range->instance, range->server }, owner->peerAddress };
 }
 
-std::vector<Ingress::Target> Ingress::serversOf(const std::string& service)
+// The servers of the service that take work; made anew when the fleet or the zones have changed.
+const Ingress::Candidates& Ingress::candidatesOf(const std::string& service)
+{
+    if (candidatesVersion_ != options_.directory->version()) {
+        candidates_.clear();
+        candidatesVersion_ = options_.directory->version();
+    }
+    const auto [entry, isNew] = candidates_.try_emplace(service);
+    if (isNew)
+        fill(entry->second, service);
+    return entry->second;
+}
+
+void Ingress::fill(Candidates& candidates, const std::string& service)
 {
-    std::vector<Target> targets;
     for (const auto& [name, entry] : options_.directory->instances()) {
         const stored::InstanceEntry& instance = entry.value;
         const bool takesWork = instance.service == service && instance.server && !instance.departing
@@ -231,9 +238,15 @@
         const bool isLocal = name == options_.settings.name;
         const bool isNear = instance.zone == options_.settings.zone;
         choiceOf(service).setDistance({ name, instance.server->id }, isNear ? 1 : otherZoneCost);
-        targets.push_back({ { name, instance.server->id }, isLocal ? std::string() : instance.peerAddress });
+        candidates.servers.push_back({ name, instance.server->id });
+        candidates.peerAddresses[name] = isLocal ? std::string() : instance.peerAddress;
     }
-    return targets;
+}
+
+void Ingress::setZonesOut(std::set<std::string> zones)
+{
+    zonesOut_ = std::move(zones);
+    candidates_.clear();
 }
 
 void Ingress::send(const PassagePtr& passage, const Target& target)
@@ -251,7 +264,7 @@
             replied(replyTo, target, now, std::move(reply));
     };
     // The reply may come before the call returns; then there is nothing to cancel.
-    const auto sequence = ++passage->sends;
+    passage->isSendOpen = true;
     std::function<void()> cancel;
     if (target.peerAddress.empty()) {
         GateCall call { std::move(request), passage->exchange->request().body, passage->deadline,
@@ -262,15 +275,14 @@
             target.peerAddress, std::move(request), passage->exchange->request().body, done);
         cancel = [this, id] { options_.peers->cancel(id); };
     }
-    const bool isUnderWay = !passage->isOver && passage->sends == sequence && !passage->isWaiting;
-    if (isUnderWay && passage->lastReplied < sequence)
+    if (passage->isSendOpen && !passage->cancelCall)
         passage->cancelCall = std::move(cancel);
 }
 
 void Ingress::replied(const PassagePtr& passage, const Target& target, TimePoint sentAt, Reply reply)
 {
     passage->cancelCall = nullptr;
-    passage->lastReplied = passage->sends;
+    passage->isSendOpen = false;
     noteReply(*passage, target, BootClock::now() - sentAt, reply);
     if (reply.isAnswer)
         return finish(passage, std::move(reply));
@@ -421,7 +433,10 @@
     const auto instances = std::max<size_t>(1, options_.directory->instances().size());
     const double reserve
         = std::max(1.0, options_.settings.retryReserve * reservePart / static_cast<double>(instances));
-    return budgets_.try_emplace(service, RetryBudget(options_.settings.retryShare, reserve)).first->second;
+    RetryBudget& budget
+        = budgets_.try_emplace(service, RetryBudget(options_.settings.retryShare, reserve)).first->second;
+    budget.setMostLevel(reserve);
+    return budget;
 }
 
 }
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -49,7 +49,7 @@
     void setConfiguration(const std::shared_ptr<const Configuration>& configuration);
     bool hasConfiguration() const { return router_ != nullptr; }
 
-    void setZonesOut(std::set<std::string> zones) { zonesOut_ = std::move(zones); }
+    void setZonesOut(std::set<std::string> zones);
 
     void handle(const std::shared_ptr<HttpExchange>& exchange);
 
@@ -70,11 +70,18 @@
         std::string peerAddress; // Empty for the server beside this instance.
     };
 
+    // The servers of a service that take work.
+    struct Candidates {
+        std::vector<InstanceId> servers;
+        std::map<std::string, std::string> peerAddresses; // By instance, as in Target.
+    };
+
     std::optional<Reply> admit(Passage& passage);
     void attempt(const PassagePtr& passage);
     std::optional<Target> chooseTarget(const Passage& passage);
     std::optional<Target> ownerOf(const Passage& passage) const;
-    std::vector<Target> serversOf(const std::string& service);
+    const Candidates& candidatesOf(const std::string& service);
+    void fill(Candidates& candidates, const std::string& service);
     void send(const PassagePtr& passage, const Target& target);
     void replied(const PassagePtr& passage, const Target& target, TimePoint sentAt, Reply reply);
     void noteReply(const Passage& passage, const Target& target, Duration latency, const Reply& reply);
@@ -93,6 +100,8 @@
     std::set<std::string> zonesOut_;
     bool isRefusing_ = false;
     std::map<std::string, ServerChoice> choices_; // By service.
+    std::map<std::string, Candidates> candidates_; // By service.
+    int64_t candidatesVersion_ = 0; // Of the directory that they were taken from.
     std::map<std::string, RetryBudget> budgets_; // By service.
     std::map<std::string, Duration> usualLatency_; // By route.
     std::list<PassagePtr> open_;
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -361,7 +361,8 @@
     return now - membersStableSince_ >= settleTime;
 }
 
-std::optional<stored::KeyTable> KeyDuty::settled(const stored::KeyTable& table, TimePoint now) const
+std::optional<stored::KeyTable> KeyDuty::settled(
+    const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now) const
 {
     OwnServer own;
     own.instance = options_.settings.name;
@@ -372,8 +373,7 @@
         = own.life ? holder_.haveEarlierGrantsEnded(*own.life, now) : holder_.haveAllGrantsEnded(now);
     own.isReleased = [this, now](const stored::KeyRange& range) { return holder_.isReleased(range, now); };
     own.handover = [this](const stored::KeyRange& range) { return holder_.handover(range); };
-    return settleTable(
-        table, own, options_.directory->keyMembers(options_.settings.service, options_.zonesOut()));
+    return settleTable(table, own, members);
 }
 
 // The next table that this instance has to write; nothing when the present one may stay.
@@ -386,7 +386,7 @@
             ? firstTable(options_.settings.service, members)
             : std::nullopt;
     if (now < grantableUntil()) {
-        if (auto table = settled(known->value, now))
+        if (auto table = settled(known->value, members, now))
             return table;
     }
     if (auto table = offloaded(known->value, members, now))
--- a/src/sidecar/keyduty.h
+++ b/src/sidecar/keyduty.h
@@ -68,7 +68,8 @@
     void confirmRanges();
     void updateTable();
     std::optional<stored::KeyTable> dueTable(TimePoint now);
-    std::optional<stored::KeyTable> settled(const stored::KeyTable& table, TimePoint now) const;
+    std::optional<stored::KeyTable> settled(
+        const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now) const;
     std::optional<stored::KeyTable> offloaded(
         const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now);
     bool isPlanner(const std::vector<KeyMember>& members, TimePoint now) const;
--- a/src/sidecar/peercalls.cpp
+++ b/src/sidecar/peercalls.cpp
@@ -52,27 +52,13 @@
         return;
     if (static_cast<int64_t>(body.size()) != answer.bodyLength)
         return done(unknownOutcome(RefusalReason::AnswerLost, "the answer was cut off"));
-    Reply reply;
-    reply.isAnswer = true;
-    reply.status = static_cast<int>(answer.status);
-    reply.headers = answer.headers;
-    reply.body = std::move(body);
-    reply.load = answer.load;
-    done(std::move(reply));
+    done(replyFrom(answer, std::move(body)));
 }
 
 void PeerCalls::onRefusal(LinkId link, const peer::Refusal& refusal)
 {
-    const Done done = take({ link, refusal.id });
-    if (!done)
-        return;
-    Reply reply;
-    reply.outcome = refusal.outcome;
-    reply.reason = refusalReason(refusal.reason);
-    reply.detail = refusal.detail;
-    reply.retryAfter = Milliseconds(refusal.retryAfterMs);
-    reply.load = refusal.load;
-    done(std::move(reply));
+    if (const Done done = take({ link, refusal.id }))
+        done(replyFrom(refusal));
 }
 
 void PeerCalls::onClosed(LinkId link, bool wasOpen)
--- a/src/sidecar/peergate.cpp
+++ b/src/sidecar/peergate.cpp
@@ -23,7 +23,7 @@
     calls_[key] = 0;
     call.reply = [this, key](Reply reply) {
         calls_.erase(key);
-        send(key, std::move(reply));
+        network_.send(key.first, { replyMessage(key.second, reply), std::move(reply.body) });
     };
     const auto id = gate_.submit(std::move(call));
     // The reply may have come already.
@@ -32,31 +32,6 @@
         open->second = id;
 }
 
-void PeerGate::send(const Key& key, Reply reply)
-{
-    peer::PeerMessage message;
-    if (!reply.isAnswer) {
-        peer::Refusal refusal {};
-        refusal.id = key.second;
-        refusal.outcome = reply.outcome;
-        refusal.reason = std::string(refusalToken(reply.reason));
-        refusal.detail = std::move(reply.detail);
-        refusal.retryAfterMs = reply.retryAfter.count();
-        refusal.load = reply.load;
-        message.refusal = std::move(refusal);
-        network_.send(key.first, { message, {} });
-        return;
-    }
-    peer::ForwardedAnswer answer {};
-    answer.id = key.second;
-    answer.status = reply.status;
-    answer.headers = std::move(reply.headers);
-    answer.bodyLength = static_cast<int64_t>(reply.body.size());
-    answer.load = reply.load;
-    message.forwardedAnswer = std::move(answer);
-    network_.send(key.first, { message, std::move(reply.body) });
-}
-
 void PeerGate::onCancel(LinkId link, const peer::Cancel& cancel)
 {
     const auto found = calls_.find({ link, cancel.id });
--- a/src/sidecar/peergate.h
+++ b/src/sidecar/peergate.h
@@ -24,8 +24,6 @@
 private:
     using Key = std::pair<LinkId, int64_t>;
 
-    void send(const Key& key, Reply reply);
-
     ServerGate& gate_;
     PeerNetwork& network_;
     std::map<Key, ServerGate::CallId> calls_;
--- a/tests/messages/messages.cpp
+++ b/tests/messages/messages.cpp
@@ -48,6 +48,39 @@
     CHECK_FALSE(decodeFrame(std::string(largestFrame + 1, 'x')).ok());
 }
 
+TEST_GROUP(ReplyMessage) {};
+
+TEST(ReplyMessage, CarriesARefusalWithAllThatItSays)
+{
+    Reply refused = notRun(RefusalReason::QueueFull, "too busy");
+    refused.retryAfter = std::chrono::milliseconds(70);
+    refused.load = peer::ServerLoad {};
+    refused.load->slots = 9;
+    const auto message = replyMessage(3, refused);
+    LONGS_EQUAL(3, message.refusal->id);
+    const Reply reply = replyFrom(*message.refusal);
+    CHECK(reply.isNotRun() && reply.reason == RefusalReason::QueueFull);
+    STRCMP_EQUAL("too busy", reply.detail.c_str());
+    LONGS_EQUAL(70, reply.retryAfter.count());
+    LONGS_EQUAL(9, reply.load->slots);
+    CHECK_FALSE(replyFrom(*replyMessage(4, unknownOutcome(RefusalReason::LinkLost)).refusal).isNotRun());
+}
+
+TEST(ReplyMessage, CarriesAnAnswerWithTheLengthOfItsBody)
+{
+    Reply answered;
+    answered.isAnswer = true;
+    answered.status = 204;
+    answered.headers = { { "Name", "value" } };
+    answered.body = "four";
+    const auto message = replyMessage(5, answered);
+    LONGS_EQUAL(4, message.forwardedAnswer->bodyLength);
+    const Reply reply = replyFrom(*message.forwardedAnswer, "four");
+    LONGS_EQUAL(204, reply.status);
+    STRCMP_EQUAL("four", reply.body.c_str());
+    STRCMP_EQUAL("value", reply.headers.front().value.c_str());
+}
+
 TEST_GROUP(Refusal) {};
 
 TEST(Refusal, EveryReasonHasATokenOfItsOwn)
--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -1,5 +1,6 @@
 #include "base/hashing.h"
 #include "routing/quarantine.h"
+#include "routing/retrybudget.h"
 #include "routing/router.h"
 #include "routing/serverchoice.h"
 
@@ -164,6 +165,19 @@
         CHECK(refusalOf(route("h.example", "/x/", key)) == RefusalReason::BadRequest);
 }
 
+TEST_GROUP(RetryBudget) {};
+
+// An instance that has just started does not know yet with how many others it shares the reserve.
+TEST(RetryBudget, ASmallerReserveTakesWhatWasSavedBeyondIt)
+{
+    RetryBudget budget(0.1, 30);
+    budget.setMostLevel(2);
+    int taken = 0;
+    while (budget.tryTake())
+        ++taken;
+    LONGS_EQUAL(2, taken);
+}
+
 TEST_GROUP(ServerChoice) {};
 
 TEST(ServerChoice, LeavesAStragglerOutAndTakesItBackAfterAGoodProbe)
