Soak: real daemons as processes, under load and random faults from outside

Six daemons, stand-in servers that hold keys, one stand-in store, loopback proxies on the ways to the store and between daemons. Faults come in series and overlap: stops, kills, freezes, reloads, server crashes and replacements, an outage, a slow store, lost answers, a forgotten history, paths that are cut in one or both directions, delayed, reset or silent, zones taken out. Checked while it runs: nothing that must run once runs twice or after a 429 or 503, answers are whole and belong to their request, one holder for each key and rising fences, the rate of a limited team, no request cut by a planned stop, no daemon that ends by itself or does not stop, all served again after 15 s. The stand-ins move to tests/standins/loopback and learn to work for a while, to leave, to restart under a new life, to be slow and to forget. Children of tests inherited the test's listening sockets, so that a server could not start again on its port; they are closed now.

--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -33,6 +33,8 @@
     const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // The test's own sockets must not stay open in the child.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(arguments[0], arguments.data());
     std::_Exit(127);
 }
@@ -56,6 +58,13 @@
     wait();
 }
 
+bool Process::hasEnded()
+{
+    if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_)
+        pid_ = -1;
+    return pid_ <= 0;
+}
+
 int Process::wait()
 {
     int status = 0;
--- a/tests/fleet/process.h
+++ b/tests/fleet/process.h
@@ -24,6 +24,9 @@
     // Waits for the end; answers the exit code, or -1 after a signal.
     int wait();
 
+    // Whether the process has ended, by itself or by a signal; does not wait for it.
+    bool hasEnded();
+
     bool isRunning() const { return pid_ > 0; }
     pid_t pid() const { return pid_; }
 
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -3,7 +3,7 @@
 
 #include "sidecar/sidecar.h"
 #include "platformedges.h"
-#include "standins.h"
+#include "standins/loopback.h"
 
 #include <CppUTest/TestHarness.h>
 
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,372 @@
+#include "soak/soak.h"
+
+#include "sidecar/fleetdirectory.h"
+
+#include <fmt/format.h>
+
+#include <iostream>
+#include <utility>
+
+namespace persimmonfield::soak {
+namespace {
+
+    constexpr int machineCount = 6;
+    constexpr Milliseconds requestInterval { 12 };
+    constexpr Milliseconds patience { 4'000 };
+    constexpr Milliseconds startTime { 15'000 };
+    // A platform's bounds: everybody is served again by then, and a stop that was asked for ends by then.
+    constexpr Milliseconds recovery { 15'000 };
+    constexpr Milliseconds grace { 6'000 };
+    // A request is lost by a planned stop only when nothing else happened for so long before it.
+    constexpr Milliseconds contact { 3'000 };
+    constexpr Milliseconds drainTime { 2'500 };
+    constexpr int lastKey = 65'535;
+    constexpr int statusOk = 200;
+
+    nlohmann::json routeOf(const char* name, const char* type, const char* prefix, const char* service)
+    {
+        return { { "name", name }, { "type", type }, { "targetLatency", "2s" }, { "priority", 1 },
+            { "match", { { "pathPrefix", prefix } } },
+            { "action", { { "service", service }, { "timeout", "4s" }, { "maxAttempts", 2 } } } };
+    }
+
+    HttpRequest makeRequest(const std::string& id, bool isCard, int key, bool isLimited)
+    {
+        HttpRequest request { isCard ? "GET" : "POST", isCard ? "/cards/1" : "/orders/1",
+            { { "Host", "h" }, { "Authorization", isLimited ? "Token limited-key" : "Token key" },
+                { "Persimmonfield-Request-Id", id }, { "Persimmonfield-Deadline-Ms", "4000" } },
+            isCard ? "" : "order" };
+        if (isCard)
+            request.headers.push_back({ "Persimmonfield-Shard-Key", std::to_string(key) });
+        return request;
+    }
+
+}
+
+Soak::Soak(SoakOptions options)
+    : options_(std::move(options))
+    , random_(options_.seed)
+    , traffic_(options_.seed + 1)
+{
+    store_ = std::make_unique<StandInStore>(loop_, Machine::storeAddress);
+    // Daemons reach one another through the proxies only.
+    store_->setView([this](const std::string& kind, const std::string& name, const nlohmann::json& value) {
+        nlohmann::json shown = value;
+        for (const auto& machine : machines_) {
+            if (kind == fleetKind && name == instanceObjectName(machine->name()) && shown.is_object())
+                shown["peerAddress"] = machine->proxiedPeerAddress();
+        }
+        return shown;
+    });
+    putConfiguration(version_);
+    for (int i = 0; i < machineCount; ++i) {
+        Machine::Options machine;
+        machine.index = i;
+        machine.service = i < machineCount / 2 ? "gallery" : "orders";
+        machine.program = options_.program;
+        machine.directory = options_.directory;
+        machine.onServer = [this](StandInServer& server) {
+            server.setRunHandler([this, &server](const HttpRequest& request) {
+                promises_.ran(server, request, othersOf(server), BootClock::now());
+            });
+            server.setTakeHandler([this, &server](const StandInServer::Held& range) {
+                promises_.took(server, range, othersOf(server));
+            });
+        };
+        machines_.push_back(std::make_unique<Machine>(loop_, std::move(machine)));
+    }
+}
+
+Promises::Servers Soak::othersOf(const StandInServer& server) const
+{
+    Promises::Servers others;
+    for (const auto& machine : machines_) {
+        if (&machine->server() != &server)
+            others.push_back(&machine->server());
+    }
+    return others;
+}
+
+void Soak::putConfiguration(int version)
+{
+    store_->put("config", "main",
+        { { "version", "r" + std::to_string(version) },
+            { "tenants",
+                { { { "name", "team" }, { "apiKeys", { "key" } }, { "ratePerS", 0 } },
+                    { { "name", Promises::limitedTeam }, { "apiKeys", { "limited-key" } },
+                        { "ratePerS", Promises::limitedRate }, { "burst", Promises::limitedRate } } } },
+            { "listeners",
+                { { { "host", "h" },
+                    { "routingRules",
+                        { routeOf("cards", "idempotent", "/cards/", "gallery"),
+                            routeOf("orders", "non_idempotent", "/orders/", "orders") } } } } },
+            { "clusters", { { { "name", "gallery" }, { "sharded", true } }, { { "name", "orders" } } } } });
+}
+
+Milliseconds Soak::between(int least, int most)
+{
+    return Milliseconds(std::uniform_int_distribution<int>(least, most)(random_));
+}
+
+Soak::Fault Soak::restartDaemon(Machine& machine, bool isPlanned)
+{
+    busy_.insert(&machine);
+    const TimePoint begun = BootClock::now();
+    isPlanned ? machine.stopDaemon() : machine.killDaemon();
+    const auto heal = [this, &machine, begun, isPlanned] {
+        if (!machine.hasDaemonEnded() && BootClock::now() - begun < grace)
+            return false;
+        if (isPlanned && !machine.hasDaemonEnded())
+            promises_.broken(machine.name() + " did not stop in its time");
+        machine.killDaemon();
+        machine.startDaemon();
+        busy_.erase(&machine);
+        return true;
+    };
+    return { isPlanned ? "stop" : "kill", begun + between(200, 1'500), heal, !isPlanned };
+}
+
+Soak::Fault Soak::crashServer(Machine& machine)
+{
+    busy_.insert(&machine);
+    machine.server().stop();
+    const bool hasSameId = random_() % 3 == 0;
+    return { "server-crash", BootClock::now() + between(100, 2'500), [this, &machine, hasSameId] {
+                machine.startServer(hasSameId);
+                busy_.erase(&machine);
+                return true;
+            } };
+}
+
+Soak::Fault Soak::replaceServer(Machine& machine)
+{
+    busy_.insert(&machine);
+    machine.server().setDraining();
+    return { "server-replaced", BootClock::now() + drainTime + between(0, 1'000), [this, &machine] {
+                machine.server().leave();
+                machine.server().stop();
+                machine.startServer(false);
+                busy_.erase(&machine);
+                return true;
+            } };
+}
+
+Soak::Fault Soak::harmStore(int kind)
+{
+    const TimePoint now = BootClock::now();
+    const auto once = [] { return true; };
+    if (kind == 0) {
+        store_->setDown(true);
+        return { "store-down", now + between(300, 4'000), [this] {
+                    store_->setDown(false);
+                    return true;
+                } };
+    }
+    if (kind == 1) {
+        store_->setDelay(between(50, 400));
+        return { "store-slow", now + between(500, 3'000), [this] {
+                    store_->setDelay(Milliseconds(0));
+                    return true;
+                } };
+    }
+    if (kind == 2) {
+        store_->loseAnswersOfNextWrites(static_cast<int>(1 + random_() % 4));
+        return { "store-loses-answers", now, once };
+    }
+    store_->forgetHistory();
+    return { "store-forgets", now, once };
+}
+
+Soak::Fault Soak::harmPath(FaultProxy& proxy, const std::string& name)
+{
+    const TimePoint now = BootClock::now();
+    const auto once = [] { return true; };
+    switch (random_() % 5) {
+    case 0:
+        proxy.resetOpen();
+        return { name + "-reset", now, once };
+    case 1:
+        proxy.silenceOpen();
+        return { name + "-silent", now, once };
+    case 2:
+        proxy.setDelay(between(20, 300));
+        return { name + "-delayed", now + between(500, 3'000), [&proxy] {
+                    proxy.setDelay(Milliseconds(0));
+                    return true;
+                } };
+    default:
+        break;
+    }
+    const auto direction = random_() % 3;
+    proxy.setCut(direction != 1, direction != 2);
+    return { name + "-cut", now + between(300, 9'000), [&proxy] {
+                proxy.setCut(false, false);
+                return true;
+            } };
+}
+
+std::vector<Soak::Maker> Soak::makers()
+{
+    return {
+        [this](Machine& machine) { return restartDaemon(machine, true); },
+        [this](Machine& machine) { return restartDaemon(machine, false); },
+        [this](Machine& machine) {
+            busy_.insert(&machine);
+            machine.freezeDaemon(true);
+            return Fault { "freeze", BootClock::now() + between(200, 3'000), [this, &machine] {
+                              machine.freezeDaemon(false);
+                              busy_.erase(&machine);
+                              return true;
+                          } };
+        },
+        [this](Machine& machine) { return crashServer(machine); },
+        [this](Machine& machine) { return replaceServer(machine); },
+        [this](Machine&) { return harmStore(static_cast<int>(random_() % 4)); },
+        [this](Machine& machine) { return harmPath(machine.storeProxy(), "store-path"); },
+        [this](Machine& machine) { return harmPath(machine.peerProxy(), "peer-path"); },
+        [this](Machine& machine) {
+            machine.reloadDaemon();
+            putConfiguration(++version_);
+            return Fault { "configuration", BootClock::now(), [] { return true; }, false };
+        },
+        [this](Machine& machine) {
+            store_->put("evacuations", machine.zone(), nlohmann::json::object());
+            return Fault { "zone-out", BootClock::now() + between(500, 3'000), [this, &machine] {
+                              store_->remove("evacuations", machine.zone());
+                              return true;
+                          } };
+        },
+    };
+}
+
+void Soak::begin(const Maker& make)
+{
+    Machine& machine = *machines_[random_() % machines_.size()];
+    if (isBusy(machine))
+        return;
+    faults_.push_back(make(machine));
+    const Fault& fault = faults_.back();
+    if (fault.isHarm)
+        lastHarm_ = BootClock::now();
+    std::cout << fmt::format("{} fault {} at {}\n", wallClockNow().count(), fault.name, machine.name())
+              << std::flush;
+}
+
+void Soak::healDue(bool isAll)
+{
+    const TimePoint now = BootClock::now();
+    for (auto fault = faults_.begin(); fault != faults_.end();) {
+        if (fault->isHarm)
+            lastHarm_ = now;
+        const bool isOver = (isAll || now >= fault->until) && fault->heal();
+        fault = isOver ? faults_.erase(fault) : std::next(fault);
+    }
+}
+
+// Faults come in series, with a longer pause after some.
+void Soak::step()
+{
+    healDue(false);
+    checkDaemons();
+    const TimePoint now = BootClock::now();
+    if (now < nextFault_)
+        return;
+    nextFault_ = now + (random_() % 6 == 0 ? between(2'000, 6'000) : between(50, 700));
+    const std::vector<Maker> all = makers();
+    begin(all[random_() % all.size()]);
+}
+
+void Soak::checkDaemons()
+{
+    for (const auto& machine : machines_) {
+        if (isBusy(*machine) || !machine->hasDaemonEnded())
+            continue;
+        promises_.broken(machine->name() + " ended by itself");
+        machine->startDaemon();
+    }
+}
+
+void Soak::sendRequest()
+{
+    Machine& machine = *machines_[traffic_() % machines_.size()];
+    const bool isCard = traffic_() % 2 == 0;
+    // Half of the requests are for a few keys that are close to one another.
+    const int key = static_cast<int>(traffic_() % 2 == 0 ? traffic_() % 200 : traffic_() % (lastKey + 1));
+    const std::string id = fmt::format("r{}", ++requests_);
+    HttpRequest request = makeRequest(id, isCard, key, traffic_() % 2 == 0);
+    const TimePoint now = BootClock::now();
+    machine.caller().call(
+        request, patience, [this, request, now](const CallResult& result) { ended(request, now, result); });
+}
+
+void Soak::ended(const HttpRequest& request, TimePoint sentAt, const CallResult& result)
+{
+    if (result.outcome == CallOutcome::Answered)
+        return promises_.answered(request, result.response);
+    const std::string& id = *request.header("Persimmonfield-Request-Id");
+    const bool wasCalm = sentAt - lastHarm_ > contact;
+    if (result.outcome == CallOutcome::Lost && wasCalm && promises_.hasRun(id))
+        promises_.broken(fmt::format("request {} ran and was cut off in a planned stop", id));
+}
+
+bool Soak::isServedEverywhere()
+{
+    size_t open = 0;
+    bool isServed = true;
+    for (const auto& machine : machines_) {
+        for (const int key : { -1, 0, lastKey }) {
+            ++open;
+            machine->caller().call(makeRequest(fmt::format("r{}", ++requests_), key >= 0, key, false),
+                patience, [&open, &isServed](const CallResult& result) {
+                    --open;
+                    isServed = isServed && result.outcome == CallOutcome::Answered
+                        && result.response.status == statusOk;
+                });
+        }
+    }
+    while (open > 0)
+        runFor(requestInterval);
+    return isServed;
+}
+
+void Soak::runFor(Milliseconds time)
+{
+    loop_.restart();
+    loop_.run_for(time);
+}
+
+std::vector<std::string> Soak::run()
+{
+    const auto waitUntilServed = [this](Milliseconds longest) {
+        const TimePoint end = BootClock::now() + longest;
+        while (!isServedEverywhere()) {
+            if (BootClock::now() >= end)
+                return false;
+            runFor(Milliseconds(200));
+        }
+        return true;
+    };
+    if (!waitUntilServed(startTime))
+        promises_.broken("not served after the start");
+    const TimePoint end = BootClock::now() + options_.length;
+    while (BootClock::now() < end) {
+        runFor(requestInterval);
+        sendRequest();
+        step();
+    }
+    while (!faults_.empty()) {
+        healDue(true);
+        runFor(requestInterval);
+    }
+    if (!waitUntilServed(recovery))
+        promises_.broken("not served everywhere again after the last fault");
+    return promises_.breaks();
+}
+
+std::string Soak::summary() const
+{
+    return fmt::format(
+        "{} requests, {} ran, {} served", requests_, promises_.runCount(), promises_.servedCount());
+}
+
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "soak/machine.h"
+#include "soak/promises.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace persimmonfield::soak {
+
+struct SoakOptions {
+    uint64_t seed = 1;
+    std::chrono::seconds length { 30 };
+    std::string program; // The daemon.
+    std::string directory; // For settings and logs.
+};
+
+// A fleet of real daemons under load and random faults, which come in series and overlap. The same seed gives
+// the same faults, not the same schedule of the processes.
+class Soak {
+public:
+    explicit Soak(SoakOptions options);
+
+    // Plays to the end; answers what was broken.
+    std::vector<std::string> run();
+
+    // What was asked and served, for people.
+    std::string summary() const;
+
+private:
+    // A fault under way, or what undoes it.
+    struct Fault {
+        std::string name;
+        TimePoint until;
+        std::function<bool()> heal; // False when it is to be asked again.
+        bool isHarm = true; // Not of planned work.
+    };
+    using Maker = std::function<Fault(Machine& machine)>;
+
+    void serve(Machine& machine, StandInServer& server);
+    Promises::Servers othersOf(const StandInServer& server) const;
+    void putConfiguration(int version);
+    void begin(const Maker& make);
+    void healDue(bool isAll);
+    void step();
+    void sendRequest();
+    void ended(const HttpRequest& request, TimePoint sentAt, const CallResult& result);
+    void checkDaemons();
+    bool isServedEverywhere();
+    void runFor(Milliseconds time);
+    std::vector<Maker> makers();
+    Fault restartDaemon(Machine& machine, bool isPlanned);
+    Fault replaceServer(Machine& machine);
+    Fault crashServer(Machine& machine);
+    Fault harmStore(int kind);
+    Fault harmPath(FaultProxy& proxy, const std::string& name);
+    Milliseconds between(int least, int most);
+    bool isBusy(const Machine& machine) const { return busy_.count(&machine) > 0; }
+
+    SoakOptions options_;
+    std::mt19937_64 random_; // Of the faults.
+    std::mt19937_64 traffic_; // Of the requests.
+    asio::io_context loop_ { 1 };
+    Promises promises_;
+    std::unique_ptr<StandInStore> store_;
+    std::vector<std::unique_ptr<Machine>> machines_;
+    std::list<Fault> faults_;
+    std::set<const Machine*> busy_; // Whose daemon or server is not up, by our doing.
+    TimePoint lastHarm_;
+    TimePoint nextFault_;
+    int version_ = 1;
+    int64_t requests_ = 0;
+};
+
+}
--- a/tests/sidecar/standins.cpp
+++ b/tests/standins/loopback.cpp
@@ -1,4 +1,4 @@
-#include "standins.h"
+#include "standins/loopback.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -11,6 +11,7 @@
     using nlohmann::json;
 
     constexpr Milliseconds reportInterval { 100 };
+    constexpr int slots = 2;
     // Longer than any answer is deferred in the tests.
     constexpr Milliseconds callTimeout { 20'000 };
 
@@ -34,7 +35,8 @@
 }
 
 StandInStore::StandInStore(asio::io_context& loop, const Address& address)
-    : server_(loop, [this](const auto& exchange) { handle(exchange); })
+    : loop_(loop)
+    , server_(loop, [this](const auto& exchange) { handle(exchange); })
 {
     if (!server_.listen(address).ok())
         std::abort();
@@ -64,6 +66,14 @@
 }
 
 void StandInStore::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    if (delay_ <= Milliseconds(0))
+        return handleNow(exchange);
+    const auto timer = std::make_shared<asio::steady_timer>(loop_, delay_);
+    timer->async_wait([this, timer, exchange](std::error_code) { handleNow(exchange); });
+}
+
+void StandInStore::handleNow(const std::shared_ptr<HttpExchange>& exchange)
 {
     if (isDown_)
         return answer(exchange, 503, json::object());
@@ -81,6 +91,8 @@
     const std::string after = queryValue(exchange->request().target, "watch");
     int64_t revision = 0;
     if (absl::SimpleAtoi(after, &revision)) {
+        if (revision < forgottenTo_)
+            return answer(exchange, 410, json::object());
         watches_.push_back({ kind, revision, exchange });
         return answerWatches();
     }
@@ -95,8 +107,9 @@
 json StandInStore::objectOf(const Key& key) const
 {
     const Object& object = objects_.at(key);
-    return { { "metadata", { { "name", key.second }, { "revision", object.revision } } },
-        { "spec", object.value }, { "status", nullptr } };
+    const json value = view_ ? view_(key.first, key.second, object.value) : object.value;
+    return { { "metadata", { { "name", key.second }, { "revision", object.revision } } }, { "spec", value },
+        { "status", nullptr } };
 }
 
 json StandInStore::eventsAfter(const std::string& kind, int64_t revision) const
@@ -144,12 +157,14 @@
 }
 
 StandInServer::StandInServer(asio::io_context& loop, std::string id, std::string service,
-    const Address& address, const Address& reportAddress)
+    const Address& address, const Address& reportAddress, int64_t startedMs)
     : id_(std::move(id))
     , service_(std::move(service))
     , server_(loop, [this](const auto& exchange) { handle(exchange); })
     , client_(loop, { reportAddress, callTimeout, callTimeout, false, {} })
     , timer_(loop)
+    , loop_(loop)
+    , startedMs_(startedMs)
 {
     if (!server_.listen(address).ok())
         std::abort();
@@ -168,49 +183,101 @@
     });
 }
 
+// What was let go and is not worked on any more.
+json StandInServer::takeReleased()
+{
+    json released = json::array();
+    std::vector<Held> remaining;
+    for (const Held& range : std::exchange(leaving_, {})) {
+        if (isWorkingIn(range))
+            remaining.push_back(range);
+        else
+            released.push_back({ range.first, range.last, "left-by-" + id_ });
+    }
+    leaving_ = std::move(remaining);
+    return released;
+}
+
 void StandInServer::report()
 {
+    const json released = takeReleased();
     json holds = json::array();
-    if (BootClock::now() < holdsUntil_) {
-        for (const auto& row : holds_)
-            holds.push_back(row);
+    const TimePoint now = BootClock::now();
+    for (const auto* ranges : { &holds_, &leaving_ }) {
+        for (const Held& range : *ranges) {
+            if (now < holdsUntil_)
+                holds.push_back({ range.first, range.last, range.fence });
+        }
     }
-    const json body { { "service", service_ }, { "slots", 2 },
+    const json body { { "service", service_ }, { "slots", slots },
         { "state", isDraining_ ? "draining" : "ready" }, { "warmupLeft", "0ms" }, { "sequence", ++sequence_ },
-        { "born", 17 }, { "holds", holds }, { "released", std::exchange(released_, json::array()) } };
+        { "born", startedMs_ }, { "holds", holds }, { "released", released } };
     ++openReports_;
     client_.call(
-        { "PUT", "/instances/" + id_, {}, body.dump() }, callTimeout, [this](const CallResult& result) {
+        { "PUT", "/instances/" + id_, {}, body.dump() }, callTimeout, [this, now](const CallResult& result) {
             --openReports_;
-            if (result.outcome == CallOutcome::Answered && result.response.status == 200)
-                take(result.response.body);
+            if (!isStopped_ && result.outcome == CallOutcome::Answered && result.response.status == 200)
+                take(result.response.body, now);
         });
 }
 
-void StandInServer::take(const std::string& answer)
+void StandInServer::leave()
+{
+    client_.call({ "DELETE", "/instances/" + id_, {}, {} }, callTimeout, [](const CallResult&) {});
+}
+
+void StandInServer::take(const std::string& answer, TimePoint sentAt)
 {
     const json body = json::parse(answer);
     if (!body.contains("holds"))
         return;
-    std::vector<std::vector<int64_t>> holds;
+    const auto isSame = [](const Held& left, const Held& right) {
+        return left.first == right.first && left.last == right.last && left.fence == right.fence;
+    };
+    const auto contains = [&isSame](const std::vector<Held>& ranges, const Held& range) {
+        return std::any_of(
+            ranges.begin(), ranges.end(), [&](const Held& each) { return isSame(each, range); });
+    };
+    int milliseconds = 0;
+    const auto text = body.at("hold_time").get<std::string>();
+    if (!absl::SimpleAtoi(text.substr(0, text.size() - 2), &milliseconds))
+        return;
+    const bool hasExpired = BootClock::now() >= holdsUntil_;
+    std::vector<Held> holds;
     for (const json& row : body.at("holds"))
         holds.push_back({ row.at(0), row.at(1), row.at(2) });
-    for (const auto& row : holds_) {
-        if (std::find(holds.begin(), holds.end(), row) == holds.end())
-            released_.push_back({ row[0], row[1], "left-by-" + id_ });
+    const std::vector<Held> before = std::exchange(holds_, std::move(holds));
+    for (const Held& range : before) {
+        if (!contains(holds_, range) && !hasExpired)
+            leaving_.push_back(range);
+    }
+    holdsUntil_ = sentAt + Milliseconds(milliseconds);
+    for (const Held& range : holds_) {
+        if (onTake_ && (hasExpired || !contains(before, range)))
+            onTake_(range);
     }
-    holds_ = std::move(holds);
-    int milliseconds = 0;
-    const auto text = body.at("hold_time").get<std::string>();
-    if (absl::SimpleAtoi(text.substr(0, text.size() - 2), &milliseconds))
-        holdsUntil_ = BootClock::now() + Milliseconds(milliseconds);
+}
+
+bool StandInServer::isWorkingIn(const Held& range) const
+{
+    const auto next = working_.lower_bound(range.first);
+    return next != working_.end() && *next <= range.last;
 }
 
 bool StandInServer::holds(int key) const
 {
-    return BootClock::now() < holdsUntil_
-        && std::any_of(
-            holds_.begin(), holds_.end(), [key](const auto& row) { return row[0] <= key && key <= row[1]; });
+    return !isStopped_ && BootClock::now() < holdsUntil_
+        && std::any_of(holds_.begin(), holds_.end(),
+            [key](const Held& range) { return range.first <= key && key <= range.last; });
+}
+
+bool StandInServer::isBusyWith(const Held& range) const
+{
+    if (isStopped_ || BootClock::now() >= holdsUntil_)
+        return false;
+    return isWorkingIn(range) || std::any_of(holds_.begin(), holds_.end(), [&range](const Held& held) {
+        return held.first <= range.last && range.first <= held.last;
+    });
 }
 
 void StandInServer::handle(const std::shared_ptr<HttpExchange>& exchange)
@@ -219,17 +286,34 @@
     int key = 0;
     const std::string* header = request.header("Persimmonfield-Shard-Key");
     const std::string* expected = request.header("Persimmonfield-Expect-Instance");
-    const bool isMisdirected
-        = (expected && *expected != id_) || (header && absl::SimpleAtoi(*header, &key) && !holds(key));
+    const bool isKeyed = header && absl::SimpleAtoi(*header, &key);
+    const bool isMisdirected = (expected && *expected != id_) || (isKeyed && !holds(key));
     if (isMisdirected)
         return exchange->respond(responseWith(421, {}));
     runs_.push_back(request);
+    if (onRun_)
+        onRun_(request);
     if (isHolding_) {
         held_.push_back(exchange);
         return;
     }
+    if (workTime_ <= Milliseconds(0))
+        return respondTo(exchange);
+    if (isKeyed)
+        working_.insert(key);
+    const auto timer = std::make_shared<asio::steady_timer>(loop_, workTime_);
+    timer->async_wait([this, timer, exchange, isKeyed, key](std::error_code) {
+        if (isKeyed)
+            working_.erase(working_.find(key));
+        respondTo(exchange);
+    });
+}
+
+void StandInServer::respondTo(const std::shared_ptr<HttpExchange>& exchange)
+{
     HttpResponse response = responseWith(200, "from " + id_);
-    response.headers = { { "Persimmonfield-Request-Id", *request.header("Persimmonfield-Request-Id") },
+    response.headers = { { "Persimmonfield-Request-Id",
+                             *exchange->request().header("Persimmonfield-Request-Id") },
         { "Persimmonfield-Response-Signature", "signed" }, { "Persimmonfield-Server-Load", "1,0,2,100" } };
     exchange->respond(std::move(response));
 }
@@ -245,6 +329,7 @@
     isStopped_ = true;
     timer_.cancel();
     server_.stop();
+    client_.closeAll();
 }
 
 }
--- a/tests/sidecar/standins.h
+++ b/tests/standins/loopback.h
@@ -29,6 +29,14 @@
 
     // Answers every call with 503.
     void setDown(bool isDown) { isDown_ = isDown; }
+    // Answers every call that much later.
+    void setDelay(Milliseconds delay) { delay_ = delay; }
+    // Watches from before now are told that their history is gone.
+    void forgetHistory() { forgottenTo_ = revision_; }
+    // What readers are shown of an object's value.
+    using View = std::function<nlohmann::json(
+        const std::string& kind, const std::string& name, const nlohmann::json&)>;
+    void setView(View view) { view_ = std::move(view); }
     // Carries the next writes out without answering them.
     void loseAnswersOfNextWrites(int count) { lostAnswers_ = count; }
 
@@ -48,6 +56,7 @@
     using Key = std::pair<std::string, std::string>;
 
     void handle(const std::shared_ptr<HttpExchange>& exchange);
+    void handleNow(const std::shared_ptr<HttpExchange>& exchange);
     void list(const std::shared_ptr<HttpExchange>& exchange, const std::string& kind);
     void write(
         const std::shared_ptr<HttpExchange>& exchange, const std::string& kind, const std::string& name);
@@ -56,7 +65,11 @@
     nlohmann::json eventsAfter(const std::string& kind, int64_t revision) const;
     static void answer(const std::shared_ptr<HttpExchange>& exchange, int status, const nlohmann::json& body);
 
+    asio::io_context& loop_;
     HttpServer server_;
+    View view_;
+    Milliseconds delay_ { 0 };
+    int64_t forgottenTo_ = 0;
     std::map<Key, Object> objects_;
     std::vector<Watch> watches_;
     int64_t revision_ = 1;
@@ -69,8 +82,15 @@
 // A backend server on loopback: reports to its daemon, holds what it is told, answers requests.
 class StandInServer {
 public:
+    // A range of keys from the first to the last, with the fence under which it is held.
+    struct Held {
+        int64_t first = 0;
+        int64_t last = 0;
+        int64_t fence = 0;
+    };
+
     StandInServer(asio::io_context& loop, std::string id, std::string service, const Address& address,
-        const Address& reportAddress);
+        const Address& reportAddress, int64_t startedMs = 17);
 
     void report();
     // Reports only when told to.
@@ -79,33 +99,54 @@
     // Answers requests only when told to.
     void holdAnswers(bool isHolding) { isHolding_ = isHolding; }
     void answerHeld();
+    // Each request takes that long.
+    void setWorkTime(Milliseconds time) { workTime_ = time; }
+    // Tells its daemon that it has left; it goes on serving.
+    void leave();
+    // Ends as in a crash: it holds nothing any more.
     void stop();
+    bool isUp() const { return !isStopped_; }
+
+    // Called when a request begins to run, and when ranges are taken that were not held before.
+    void setRunHandler(std::function<void(const HttpRequest&)> handler) { onRun_ = std::move(handler); }
+    void setTakeHandler(std::function<void(const Held&)> handler) { onTake_ = std::move(handler); }
 
     const std::vector<HttpRequest>& runs() const { return runs_; }
     int64_t reports() const { return sequence_; }
     bool isReportAnswered() const { return openReports_ == 0; }
     const std::string& id() const { return id_; }
     bool holds(int key) const;
+    // Whether it holds keys of the range or still works on one of them.
+    bool isBusyWith(const Held& range) const;
     int64_t holdsCount() const { return static_cast<int64_t>(holds_.size()); }
 
 private:
     void handle(const std::shared_ptr<HttpExchange>& exchange);
     void schedule();
-    void take(const std::string& answer);
+    void take(const std::string& answer, TimePoint sentAt);
+    void respondTo(const std::shared_ptr<HttpExchange>& exchange);
+    bool isWorkingIn(const Held& range) const;
+    nlohmann::json takeReleased();
 
     std::string id_;
     std::string service_;
     HttpServer server_;
     HttpClient client_;
     asio::steady_timer timer_;
+    asio::io_context& loop_;
     int64_t sequence_ = 0;
     int openReports_ = 0;
     bool isDraining_ = false;
     bool isHolding_ = false;
     bool isStopped_ = false;
-    std::vector<std::vector<int64_t>> holds_;
+    int64_t startedMs_;
+    Milliseconds workTime_ { 0 };
+    std::vector<Held> holds_;
+    std::vector<Held> leaving_; // Let go, and not yet reported so: work on a key may last.
+    std::multiset<int64_t> working_; // Keys of the requests that run.
     TimePoint holdsUntil_;
-    nlohmann::json released_ = nlohmann::json::array();
+    std::function<void(const HttpRequest&)> onRun_;
+    std::function<void(const Held&)> onTake_;
     std::vector<HttpRequest> runs_;
     std::vector<std::shared_ptr<HttpExchange>> held_;
 };
