--- a/src/sidecar/fleetdirectory.h
+++ b/src/sidecar/fleetdirectory.h
@@ -13,9 +13,8 @@
 
 namespace persimmonfield {
 
-// The kinds of objects by which instances find one another.
+// The kind of the objects in the store by which instances find one another.
 inline constexpr const char* fleetKind = "persimmonfield-fleet";
-inline constexpr const char* leaseKind = "persimmonfield-leases";
 
 std::string instanceObjectName(const std::string& instance);
 std::string keyTableObjectName(const std::string& service);
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -12,8 +12,6 @@
 
     // How often what depends on time alone is looked at.
     constexpr Milliseconds stepInterval { 500 };
-    // Listings that may be stale cost the store little.
-    constexpr Milliseconds pollInterval { 1'500 };
     // A first table waits until all who start together have reported.
     constexpr Milliseconds settleTime { 1'500 };
     // A server without keys is not kept waiting longer for its first.
@@ -24,9 +22,6 @@
     // After a write that somebody else's came before: a pause of that time, spread by so many milliseconds.
     constexpr Milliseconds conflictPause { 20 };
     constexpr uint64_t conflictSpread = 60;
-    // Instances that live are back within about two seconds of the store's return; leases are not ended
-    // earlier.
-    constexpr Milliseconds returnTime { 2'500 };
     // A server whose requests, running and waiting, take up this part of its slots gives keys away to one
     // that is less busy by so much.
     constexpr double busyServer = 0.75;
@@ -44,18 +39,6 @@
         return options;
     }
 
-    // Nothing when another writer has spoiled the object.
-    std::optional<stored::KeyLease> readLease(const StoreObject& object)
-    {
-        try {
-            return object.value.get<stored::KeyLease>();
-        } catch (const std::exception& error) {
-            log(LogLevel::Warning, "object-unreadable",
-                { { "kind", leaseKind }, { "name", object.name }, { "cause", error.what() } });
-            return std::nullopt;
-        }
-    }
-
 }
 
 KeyDuty::KeyDuty(KeyDutyOptions options)
@@ -63,8 +46,8 @@
     , timer_(*options_.loop)
     , retryTimer_(*options_.loop)
     , deferTimer_(*options_.loop)
-    , lease_(options_.settings.name, options_.incarnation, KeyLeaseTiming())
-    , leases_(KeyLeaseTiming())
+    , leases_({ options_.settings.name, options_.incarnation, options_.store, [this] { confirmRanges(); },
+          [this] { updateTable(); } })
     , holder_(holderOptions(options_.settings))
     , random_(randomSource())
 {
@@ -89,25 +72,17 @@
 {
     const TimePoint now = BootClock::now();
     if (options_.serverLife()) {
-        renewLease(now);
-        pollLeases(now);
-        lapseLeases(now);
+        leases_.step(now);
     }
     updateTable();
     scheduleStep();
 }
 
-// While the lease has to be confirmed, nothing may be granted by it.
-TimePoint KeyDuty::grantableUntil() const
-{
-    return lease_.needsConfirmation() ? TimePoint() : lease_.end();
-}
-
 void KeyDuty::answer(const ServerReport& report, const std::function<void(KeyAnswer)>& done)
 {
     answerDeferred();
     isAloneAtAddress_ = report.address == options_.settings.serverAddress.text();
-    renewLease(BootClock::now());
+    leases_.renew(BootClock::now());
     KeyAnswer answer = answerNow(report);
     const Duration patience = deferTime(report, answer);
     if (patience <= Duration::zero())
@@ -123,7 +98,7 @@
 // Whether a write that is under way, or due at once, may give the server keys.
 bool KeyDuty::mayGrantSoon() const
 {
-    return pendingTable_ || isConfirming_ || lease_.needsConfirmation();
+    return pendingTable_ || isConfirming_ || leases_.needsConfirmation();
 }
 
 // Whether another instance is about to let a range go that the own server is to have.
@@ -191,7 +166,7 @@
 KeyAnswer KeyDuty::answerNow(const ServerReport& report)
 {
     const TimePoint now = BootClock::now();
-    holder_.setLeaseEnd(grantableUntil());
+    holder_.setLeaseEnd(leases_.grantableUntil());
     KeyAnswer answer = holder_.report({ report.life, report.holds, report.released }, grantableTable(), now);
     updateTable();
     return answer;
@@ -218,40 +193,6 @@
     return table;
 }
 
-void KeyDuty::renewLease(TimePoint now)
-{
-    const auto renewal = lease_.dueRenewal(now);
-    if (!renewal)
-        return;
-    options_.store->write(
-        { leaseKind, options_.settings.name, nlohmann::json(renewal->lease), renewal->expectedRevision },
-        [this](const StoreWriteResult& result) { leaseWritten(result); });
-}
-
-void KeyDuty::leaseWritten(const StoreWriteResult& result)
-{
-    if (result.outcome == WriteOutcome::Applied && result.object) {
-        lease_.renewed(result.object->revision);
-        if (!renewingSince_)
-            renewingSince_ = BootClock::now();
-        observeLease(*result.object);
-        if (lease_.needsConfirmation())
-            confirmRanges();
-        return;
-    }
-    if (result.outcome != WriteOutcome::Conflict) {
-        log(LogLevel::Info, "lease-not-renewed", { { "cause", result.detail } });
-        renewingSince_.reset();
-        return lease_.failed();
-    }
-    const auto found = result.object ? readLease(*result.object) : std::nullopt;
-    const bool isLost = lease_.conflicted(found, result.object ? result.object->revision : 0);
-    if (isLost)
-        log(LogLevel::Info, "lease-taken-anew",
-            { { "found", result.object ? result.object->value : nlohmann::json() } });
-    renewLease(BootClock::now());
-}
-
 // After the lease was taken anew: another instance that found it lapsed may be about to give this one's
 // ranges away. The ranges are read again, and where the lease had lapsed, given up by a write that such a
 // change cannot survive.
@@ -262,76 +203,20 @@
     options_.store->list(fleetKind, false, [this](const absl::StatusOr<StorePage>& page) {
         isConfirming_ = false;
         if (!page.ok())
-            return lease_.failed();
+            return leases_.confirmationFailed();
         options_.directory->apply(*page, true);
         const auto* table = options_.directory->keyTable(options_.settings.service);
-        auto confirmed
-            = table && lease_.wasLapsed() ? confirmTable(table->value, options_.settings.name) : std::nullopt;
+        auto confirmed = table && leases_.wasLapsed() ? confirmTable(table->value, options_.settings.name)
+                                                      : std::nullopt;
         if (confirmed)
             return writeTable(*confirmed, table->revision, true);
-        lease_.confirmed();
+        leases_.confirmed();
         options_.onChange();
         updateTable();
         answerDeferredIfDue();
     });
 }
 
-void KeyDuty::pollLeases(TimePoint now)
-{
-    if (now < nextPoll_)
-        return;
-    nextPoll_ = now + pollInterval;
-    listLeases(true);
-}
-
-void KeyDuty::listLeases(bool mayBeStale)
-{
-    if (std::exchange(isListing_, true))
-        return;
-    options_.store->list(leaseKind, mayBeStale, [this, mayBeStale](const absl::StatusOr<StorePage>& page) {
-        isListing_ = false;
-        if (!page.ok())
-            return;
-        for (const StoreObject& object : page->objects)
-            observeLease(object);
-        if (!mayBeStale)
-            leasesRevision_ = page->revision;
-        updateTable();
-    });
-}
-
-void KeyDuty::observeLease(const StoreObject& object)
-{
-    const TimePoint now = BootClock::now();
-    if (const auto lease = readLease(object))
-        leases_.observe(*lease, object.revision, now);
-    else
-        leases_.observeUnreadable(object.name, object.revision, now);
-}
-
-void KeyDuty::lapseLeases(TimePoint now)
-{
-    if (now >= grantableUntil() || !renewingSince_ || now - *renewingSince_ < returnTime)
-        return;
-    for (const KeyLeaseWatch::Expired& expired : leases_.expired(now)) {
-        const std::string instance = expired.lease.instance;
-        if (instance == options_.settings.name || !lapsing_.insert(instance).second)
-            continue;
-        log(LogLevel::Info, "lease-lapsed",
-            { { "of", instance }, { "sequence", expired.lease.sequence },
-                { "revision", expired.expectedRevision } });
-        options_.store->write(
-            { leaseKind, instance, nlohmann::json(expired.lease), expired.expectedRevision },
-            [this, instance](const StoreWriteResult& result) {
-                lapsing_.erase(instance);
-                if (!result.object)
-                    return;
-                observeLease(*result.object);
-                updateTable();
-            });
-    }
-}
-
 void KeyDuty::onDirectoryChange()
 {
     updateTable();
@@ -341,7 +226,7 @@
 // The first instance by name that lives and holds a lease plans for the service.
 bool KeyDuty::isPlanner(const std::vector<KeyMember>& members, TimePoint now) const
 {
-    if (now >= grantableUntil())
+    if (now >= leases_.grantableUntil())
         return false;
     for (const KeyMember& member : members) {
         if (member.instance == options_.settings.name)
@@ -385,7 +270,7 @@
         return isPlanner(members, now) && mayMakeFirstTable(members, now)
             ? firstTable(options_.settings.service, members)
             : std::nullopt;
-    if (now < grantableUntil()) {
+    if (now < leases_.grantableUntil()) {
         if (auto table = settled(known->value, members, now))
             return table;
     }
@@ -399,8 +284,8 @@
     const bool needsNewListing = std::any_of(known->value.ranges.begin(), known->value.ranges.end(),
         [&](const stored::KeyRange& range) { return isOwned(range) && isLapsed(range.instance); });
     // An instance may have taken its lease anew before the table was last written.
-    if (needsNewListing && leasesRevision_ < known->revision) {
-        listLeases(false);
+    if (needsNewListing && leases_.listedRevision() < known->revision) {
+        leases_.list(false);
         return std::nullopt;
     }
     const auto weight
@@ -419,7 +304,7 @@
     const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now)
 {
     const auto own = ownBoard_.busyness(options_.settings.name, now);
-    if (now < nextOffload_ || now >= grantableUntil() || own.value_or(0) < busyServer)
+    if (now < nextOffload_ || now >= leases_.grantableUntil() || own.value_or(0) < busyServer)
         return std::nullopt;
     const KeyMember* idlest = nullptr;
     double least = *own - worthMoving;
@@ -518,7 +403,7 @@
     if (isConfirmation && !isApplied)
         return confirmRanges();
     if (isConfirmation)
-        lease_.confirmed();
+        leases_.confirmed();
     if (!isApplied) {
         // Somebody else wrote first: let the others write as well before the next try.
         log(LogLevel::Info, "key-table-refused", { { "cause", result.detail } });
--- a/src/sidecar/keyduty.h
+++ b/src/sidecar/keyduty.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "ownership/keyholder.h"
-#include "ownership/keylease.h"
 #include "ownership/keyload.h"
 #include "sidecar/fleetdirectory.h"
+#include "sidecar/keyleaseduty.h"
 #include "sidecar/loadboard.h"
 #include "sidecar/sidecarsettings.h"
 #include "store/storesession.h"
@@ -38,8 +38,8 @@
     std::function<void(const std::string& instance, int64_t revision)> onConcerned;
 };
 
-// Beside the server of a service that is divided by key: renews this instance's lease, tells the server what
-// it holds, settles this instance's ranges, and plans the table where this instance is the first of those
+// Beside the server of a service that is divided by key: tells the server what it holds by this instance's
+// lease, settles this instance's ranges, and plans the table where this instance is the first of those
 // whose lease is fresh. Two planners at once do no harm: the table is written under a condition.
 class KeyDuty {
 public:
@@ -61,12 +61,6 @@
 private:
     void step();
     void scheduleStep();
-    void renewLease(TimePoint now);
-    void leaseWritten(const StoreWriteResult& result);
-    void pollLeases(TimePoint now);
-    void listLeases(bool mayBeStale);
-    void observeLease(const StoreObject& object);
-    void lapseLeases(TimePoint now);
     void confirmRanges();
     void updateTable();
     std::optional<stored::KeyTable> dueTable(TimePoint now);
@@ -89,19 +83,14 @@
     Duration deferTime(const ServerReport& report, const KeyAnswer& answer) const;
     void answerDeferredIfDue();
     void answerDeferred();
-    TimePoint grantableUntil() const;
 
     KeyDutyOptions options_;
     asio::steady_timer timer_;
     asio::steady_timer retryTimer_;
     asio::steady_timer deferTimer_;
-    KeyLeaseHolder lease_;
-    KeyLeaseWatch leases_;
+    KeyLeaseDuty leases_;
     KeyHolder holder_;
     std::function<uint64_t()> random_;
-    std::set<std::string> lapsing_; // Instances whose lease is being marked.
-    int64_t leasesRevision_ = 0; // Of the last listing that was not stale.
-    bool isListing_ = false;
     // A write of the table whose end is not known yet. It may still take effect, so it is repeated until it
     // is, and what it gives away is not granted meanwhile.
     struct PendingTable {
@@ -122,9 +111,7 @@
     KeyLoad load_;
     LoadBoard ownBoard_; // How busy the own server was, smoothed as that of others.
     TimePoint nextOffload_;
-    std::optional<TimePoint> renewingSince_; // Since when every renewal of the lease succeeded.
     bool isConfirming_ = false;
-    TimePoint nextPoll_;
     size_t lastMemberCount_ = 0;
     TimePoint membersStableSince_;
 };
