Keys: a range is released by the server's word, not by a report that names no hold

Ruled out: leases (none was lost), the store (its writes were in order). Change: what was granted stays outstanding until the server reports it as released or its time has run out.

--- a/src/ownership/keyholder.cpp
+++ b/src/ownership/keyholder.cpp
@@ -12,9 +12,9 @@
     // Handovers are remembered until the table shows the next owner; older ones are dropped.
     constexpr size_t mostReleased = 256;
 
-    bool overlaps(const KeyGrant& grant, const stored::KeyRange& range)
+    template <typename Left, typename Right> bool overlaps(const Left& left, const Right& right)
     {
-        return grant.first <= range.last && range.first <= grant.last;
+        return left.first <= right.last && right.first <= left.last;
     }
 
 }
@@ -34,6 +34,23 @@
     earlierGrantedUntil_ = std::max(earlierGrantedUntil_, now + longestHold(options_.holdTime));
 }
 
+// Nothing of the range is outstanding any more.
+void KeyHolder::settle(const KeyGrant& range)
+{
+    std::vector<Outstanding> remaining;
+    for (const Outstanding& each : outstanding_) {
+        if (!overlaps(each, range)) {
+            remaining.push_back(each);
+            continue;
+        }
+        if (each.first < range.first)
+            remaining.push_back({ each.first, range.first - 1, each.until });
+        if (range.last < each.last)
+            remaining.push_back({ range.last + 1, each.last, each.until });
+    }
+    outstanding_ = std::move(remaining);
+}
+
 KeyAnswer KeyHolder::report(const KeyReport& report, const stored::KeyTable& table, TimePoint now)
 {
     if (report.server != server_) {
@@ -41,12 +58,14 @@
         grantedUntil_ = TimePoint();
         server_ = report.server;
         released_.clear();
-        granted_.clear();
+        outstanding_.clear();
     }
     reported_ = report.holds;
-    grantedBefore_ = std::exchange(granted_, {});
-    for (const KeyGrant& each : report.released)
+    granted_.clear();
+    for (const KeyGrant& each : report.released) {
         released_.push_back(each);
+        settle(each);
+    }
     if (released_.size() > mostReleased)
         released_.erase(released_.begin(), released_.end() - mostReleased);
     KeyAnswer answer;
@@ -64,6 +83,10 @@
     }
     answer.holdTime = holdTime;
     granted_ = answer.grants;
+    for (const KeyGrant& grant : granted_) {
+        settle(grant);
+        outstanding_.push_back({ grant.first, grant.last, now + longestHold(holdTime) });
+    }
     if (!granted_.empty() || !reported_.empty()) {
         grantedUntil_ = std::max(grantedUntil_, now + longestHold(holdTime));
         mayRunUntil_ = now + holdTime;
@@ -86,10 +109,11 @@
     // Only the server itself knows what an earlier run of this daemon granted.
     if (lifeOf(range) != server_)
         return false;
-    const auto touches = [&range](const KeyGrant& grant) { return overlaps(grant, range); };
-    return std::none_of(granted_.begin(), granted_.end(), touches)
-        && std::none_of(grantedBefore_.begin(), grantedBefore_.end(), touches)
-        && std::none_of(reported_.begin(), reported_.end(), touches);
+    const bool mayHold = std::any_of(outstanding_.begin(), outstanding_.end(),
+        [&range, now](const Outstanding& each) { return overlaps(each, range) && now < each.until; });
+    const bool saysToHold = std::any_of(reported_.begin(), reported_.end(),
+        [&range](const KeyGrant& grant) { return overlaps(grant, range); });
+    return !mayHold && !saysToHold;
 }
 
 std::string KeyHolder::handover(const stored::KeyRange& range) const
--- a/src/ownership/keyholder.h
+++ b/src/ownership/keyholder.h
@@ -53,7 +53,9 @@
     // Whether the server may be given work on the key at that moment.
     bool mayRun(int key, TimePoint now) const;
 
-    // Whether the life that reported last has let the range go, by its own report or by the end of its grant.
+    // Whether the life that reported last has let the range go: it said so, or all that it was granted of the
+    // range has run out. That a report names no hold is no proof: it may have been sent before the grant
+    // arrived.
     bool isReleased(const stored::KeyRange& range, TimePoint now) const;
     std::string handover(const stored::KeyRange& range) const;
 
@@ -67,12 +69,19 @@
 
 private:
     Duration longestHold(Duration holdTime) const;
+    void settle(const KeyGrant& range);
 
     KeyHolderOptions options_;
     TimePoint leaseEnd_;
     ServerLife server_; // That reported last.
-    std::vector<KeyGrant> granted_; // In the last answer, and not let go since.
-    std::vector<KeyGrant> grantedBefore_; // In the answer before; a report that follows it shows what it did.
+    std::vector<KeyGrant> granted_; // In the last answer.
+    // What the present life may hold by any answer until when, and has not said to have let go since.
+    struct Outstanding {
+        int64_t first = 0;
+        int64_t last = 0;
+        TimePoint until;
+    };
+    std::vector<Outstanding> outstanding_;
     std::vector<KeyGrant> reported_; // In the last report.
     std::vector<KeyGrant> released_; // Let go by the present life, newest last.
     TimePoint grantedUntil_; // When the present life's grants have ended for certain.
--- a/tests/ownership/keytable.cpp
+++ b/tests/ownership/keytable.cpp
@@ -269,6 +269,41 @@
     STRCMP_EQUAL("left", holder.handover(table.ranges.front()).c_str());
 }
 
+// A daemon that was frozen finds several reports waiting that were sent while the server held nothing. It
+// answers the first with a grant; the others say nothing of what became of that.
+TEST(KeyHolder, ReportsThatWereSentBeforeAGrantArrivedReleaseNothing)
+{
+    const KeyAnswer first = holder.report(reportOf(life, {}), table, start);
+    LONGS_EQUAL(1, first.grants.size());
+    table.ranges.front().target = "b";
+    for (int i = 1; i <= 3; ++i) {
+        holder.report(reportOf(life, {}), table, start + Milliseconds(i));
+        CHECK(!holder.isReleased(table.ranges.front(), start + Milliseconds(i)));
+    }
+    CHECK(!holder.isReleased(table.ranges.front(), start + Milliseconds(3'059)));
+    CHECK(holder.isReleased(table.ranges.front(), start + Milliseconds(3'060)));
+}
+
+TEST(KeyHolder, APartThatIsLetGoIsReleasedWhileTheRestIsHeld)
+{
+    holder.report(reportOf(life, {}), table, start);
+    stored::KeyRange part = table.ranges.front();
+    part.first = 100;
+    part.last = 199;
+    part.target = "b";
+    stored::KeyRange above = table.ranges.front();
+    above.first = 200;
+    table.ranges.front().last = 99;
+    table.ranges.push_back(part);
+    table.ranges.push_back(above);
+    KeyReport next = reportOf(life, { { 0, 99, 1, {} }, { 200, lastKeyNumber, 1, {} } });
+    next.released.push_back({ 100, 199, 0, "left" });
+    holder.report(next, table, start + Milliseconds(100));
+    CHECK(holder.isReleased(part, start + Milliseconds(100)));
+    CHECK(!holder.isReleased(table.ranges.front(), start + Milliseconds(100)));
+    CHECK(!holder.isReleased(above, start + Milliseconds(100)));
+}
+
 TEST(KeyHolder, AnAnswerStaysUnderFourKibibytes)
 {
     stored::KeyTable many;
