Store: its return is noticed within half a second, and broken watches go on at once

Change: the store is tried each 0.4 s, a watch that broke goes on when the store answers anything, and a watch through another instance is given up 0.3 s after its wait. Test: ABrokenWatchGoesOnWhenTheStoreIsBack.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -94,8 +94,11 @@
     limits_->setSlack(settings_.rateSlack);
     ingress_ = std::make_unique<Ingress>(IngressOptions { &loop_, &edges_, settings_, &counters_, &directory_,
         gate_.get(), peers_.get(), limits_.get(), &loads_ });
-    transport_.setReachableHandler(
-        [](bool isReachable) { log(LogLevel::Info, isReachable ? "store-regained" : "store-lost", {}); });
+    transport_.setReachableHandler([this](bool isReachable) {
+        log(LogLevel::Info, isReachable ? "store-regained" : "store-lost", {});
+        if (isReachable)
+            store_.retryWatches();
+    });
 }
 
 Sidecar::~Sidecar() = default;
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -24,8 +24,8 @@
     constexpr Milliseconds watchWait { 25'000 };
     // Through another instance, whose own way to the store may end meanwhile.
     constexpr Milliseconds relayedWatchWait { 500 };
-    constexpr Milliseconds firstPause { 100 };
-    constexpr Milliseconds longestPause { 800 };
+    // Beyond the wait: the other instance may have ended.
+    constexpr Milliseconds relayedWatchPatience { 300 };
 
     absl::Status statusOf(const CallResult& result)
     {
@@ -48,6 +48,7 @@
         , kind_(std::move(kind))
         , handler_(std::move(handler))
         , timer_(session.loop_)
+        , pause_(session.pauses_.first)
     {
     }
 
@@ -68,6 +69,14 @@
         timer_.cancel();
     }
 
+    void retryNow()
+    {
+        if (!std::exchange(isRetrying_, false))
+            return;
+        timer_.cancel();
+        resume();
+    }
+
     void setInterval(Milliseconds interval) { interval_ = interval; }
 
     void hurry(int64_t revision)
@@ -111,7 +120,7 @@
 
     void take(const StorePage& page, bool isWhole)
     {
-        pause_ = firstPause;
+        pause_ = session_->pauses_.first;
         revision_ = std::max(revision_, page.revision);
         if (isWhole || !page.objects.empty())
             handler_(page, isWhole);
@@ -123,33 +132,41 @@
     {
         log(LogLevel::Info, "store-watch-broken",
             { { "kind", kind_ }, { "revision", revision_ }, { "cause", std::string(cause.message()) } });
+        isRetrying_ = true;
         timer_.expires_after(pause_);
-        pause_ = std::min(pause_ * 2, longestPause);
+        pause_ = std::min(pause_ * 2, session_->pauses_.longest);
         timer_.async_wait([self = shared_from_this()](std::error_code error) {
-            if (error || !self->session_)
-                return;
-            if (self->revision_ > 0)
-                self->follow();
-            else
-                self->list();
+            if (!error && self->session_ && std::exchange(self->isRetrying_, false))
+                self->resume();
         });
     }
 
+    void resume()
+    {
+        if (revision_ > 0)
+            follow();
+        else
+            list();
+    }
+
     StoreSession* session_; // Null once stopped.
     std::string kind_;
     ChangeHandler handler_;
     asio::steady_timer timer_;
-    Milliseconds pause_ = firstPause;
+    Milliseconds pause_;
+    bool isRetrying_ = false; // After the pause.
     Milliseconds interval_ { 0 };
     std::optional<TimePoint> followedAt_;
     bool isPausing_ = false; // Until the interval has passed.
     int64_t revision_ = 0;
 };
 
-StoreSession::StoreSession(asio::io_context& loop, StoreTransport& transport, StoreDialect dialect)
+StoreSession::StoreSession(
+    asio::io_context& loop, StoreTransport& transport, StoreDialect dialect, StoreRetryPauses pauses)
     : loop_(loop)
     , transport_(transport)
     , dialect_(std::move(dialect))
+    , pauses_(pauses)
 {
 }
 
@@ -166,6 +183,12 @@
     watch->list();
 }
 
+void StoreSession::retryWatches()
+{
+    for (const auto& [kind, watch] : watches_)
+        watch->retryNow();
+}
+
 void StoreSession::setWatchInterval(const std::string& kind, Milliseconds interval)
 {
     watches_.at(kind)->setInterval(interval);
@@ -204,8 +227,10 @@
 
 void StoreSession::fetchEvents(const std::string& kind, int64_t afterRevision, const PageDone& done)
 {
-    const Milliseconds wait = transport_.isReachable() ? watchWait : relayedWatchWait;
-    transport_.callWaiting(dialect_.watch(kind, afterRevision, wait), wait + callTimeout,
+    const bool isDirect = transport_.isReachable();
+    const Milliseconds wait = isDirect ? watchWait : relayedWatchWait;
+    const Milliseconds patience = isDirect ? callTimeout : relayedWatchPatience;
+    transport_.callWaiting(dialect_.watch(kind, afterRevision, wait), wait + patience,
         [this, kind, done](const CallResult& result) {
             if (absl::Status status = statusOf(result); !status.ok())
                 return done(std::move(status));
--- a/src/store/storesession.h
+++ b/src/store/storesession.h
@@ -22,6 +22,13 @@
     std::string detail;
 };
 
+// Between tries of a watch that broke; each is twice as long as the one before.
+struct StoreRetryPauses {
+    Milliseconds first { 100 };
+    // All watches must be up again well within the two seconds in which a configuration is to be in force.
+    Milliseconds longest { 400 };
+};
+
 // The event-driven side of the store: listings, waiting watches and conditional writes in the store's
 // dialect.
 class StoreSession {
@@ -31,7 +38,8 @@
     // Objects that changed. A whole listing replaces all that was known of the kind.
     using ChangeHandler = std::function<void(const StorePage& page, bool isWhole)>;
 
-    StoreSession(asio::io_context& loop, StoreTransport& transport, StoreDialect dialect);
+    StoreSession(asio::io_context& loop, StoreTransport& transport, StoreDialect dialect,
+        StoreRetryPauses pauses = {});
     ~StoreSession();
 
     // All objects of a kind; ones that may be seconds old cost the store less.
@@ -43,6 +51,9 @@
     // Keeps the handler informed of a kind from now on.
     void watch(const std::string& kind, ChangeHandler handler);
 
+    // The store answers again: watches that broke do not wait for their next try.
+    void retryWatches();
+
     // Watches of the kind begin no more often than once in that time; changes between come together.
     void setWatchInterval(const std::string& kind, Milliseconds interval);
 
@@ -58,6 +69,7 @@
     asio::io_context& loop_;
     StoreTransport& transport_;
     StoreDialect dialect_;
+    StoreRetryPauses pauses_;
     std::map<std::string, std::shared_ptr<KindWatch>> watches_; // By kind.
 };
 
--- a/src/store/storetransport.cpp
+++ b/src/store/storetransport.cpp
@@ -8,8 +8,9 @@
     constexpr int statusTooMany = 429;
     constexpr int statusUnavailable = 503;
     constexpr Milliseconds connectTimeout { 500 };
-    // A store that turned this instance away is tried again after this time.
-    constexpr Milliseconds directPause { 1'000 };
+    // A store that turned this instance away is tried again after this time: its return must be noticed well
+    // within the two seconds in which a configuration is to be in force.
+    constexpr Milliseconds directPause { 400 };
 
     bool isTurnedAway(const CallResult& result)
     {
--- a/tests/sidecar/storewatch.cpp
+++ b/tests/sidecar/storewatch.cpp
@@ -21,7 +21,8 @@
     asio::io_context loop { 1 };
     StandInStore store { loop, storeAddress };
     StoreTransport transport { loop, storeAddress };
-    StoreSession session { loop, transport, platform::platformEdges().store };
+    StoreSession session { loop, transport, platform::platformEdges().store,
+        { std::chrono::hours(1), std::chrono::hours(1) } };
     std::set<std::string> seen;
 
     bool runUntil(const std::function<bool()>& condition)
@@ -81,3 +82,22 @@
     loop.run_for(Milliseconds(50));
     LONGS_EQUAL(1, store.watchCalls());
 }
+
+TEST(StoreWatch, ABrokenWatchGoesOnWhenTheStoreIsBack)
+{
+    bool isBroken = false;
+    transport.setReachableHandler([&isBroken](bool isReachable) { isBroken = !isReachable; });
+    store.setDown(true);
+    watch();
+    CHECK(runUntil([&isBroken] { return isBroken; }));
+    store.setDown(false);
+    store.put(kind, "first", {});
+    // The next try by itself would come after an hour.
+    transport.setReachableHandler([this](bool) { session.retryWatches(); });
+    CHECK(runUntil([this] {
+        session.list("others", false, [](const absl::StatusOr<StorePage>&) {});
+        loop.restart();
+        loop.run_for(Milliseconds(20));
+        return seen.count("first") > 0;
+    }));
+}
