Store: a watch lists anew after each break, and a silent one is given up

Cause: after a reset a watch went on from the revision it knew.

Change: KindWatch lists anew after each break; all watches begin anew when a lost store answers again; the connections of a client that notices silence are not reused after one of them went silent. FleetChange becomes StoreChange with a kind: instances that learn of the operator's changes tell three others, and a watch that does not tell of a named revision within half a second is given up. The phase of a KindWatch is one enum.

Tests that failed before: ABrokenWatchListsAnew, AWatchThatHasGoneSilentIsGivenUpForANewerRevision, AWatchThatHasGoneSilentBeginsAnewWhenTheStoreIsBack, AnInstanceWhoseWatchesHangLearnsOfAConfigurationFromOthers.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -49,6 +49,14 @@
     connection->close();
 }
 
+void HttpClient::closeIdle()
+{
+    const auto idle = std::move(idle_);
+    idle_.clear();
+    for (const auto& connection : idle)
+        connection->close();
+}
+
 void HttpClient::closeAll()
 {
     std::vector<std::shared_ptr<HttpClientConnection>> all(idle_.begin(), idle_.end());
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -35,7 +35,8 @@
     Milliseconds connectTimeout { 1'000 };
     // How long a connection may lie idle before it is closed; a server's Keep-Alive shortens it.
     Milliseconds idleTimeout { 8'000 };
-    // Whether connections are probed, so that one that went silent ends while a call waits long.
+    // Whether connections are probed, so that one that went silent ends while a call waits long. A call
+    // without an answer then ends those that lie idle too: what silenced one may have silenced all.
     bool noticesSilence = false;
     // Whether the answer belongs to the request; others are dropped, and their connection is not kept.
     std::function<bool(const HttpRequest& request, const HttpResponse& response)> isAnswerTo;
@@ -60,6 +61,9 @@
     // Gives the call up and closes its connection, which tells the server to stop; `done` is not called.
     void cancel(CallId id);
 
+    // Closes the connections that no call uses.
+    void closeIdle();
+
     // Closes all connections; calls under way end as Lost.
     void closeAll();
 
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -206,6 +206,8 @@
         armIdle();
         read();
     } else {
+        if (outcome != CallOutcome::Answered && client_->options_.noticesSilence)
+            client_->closeIdle();
         close();
     }
     done({ outcome, std::move(response), std::move(detail) });
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hashing.h"
 #include "base/logger.h"
+#include "base/random.h"
 
 #include <algorithm>
 #include <utility>
@@ -25,6 +26,8 @@
     constexpr Milliseconds longestFleetWatchInterval { 2'000 };
     // The first instance by name plans; the next one does where the first has just gone.
     constexpr int likelyPlanners = 2;
+    // Others that an instance tells of a change of the operator's: if all do, hardly one is left out.
+    constexpr int instancesTold = 3;
     // The process must be gone before it is ended by force.
     constexpr Milliseconds stopMargin { 600 };
 
@@ -61,6 +64,7 @@
     , metrics_(loop, [this](const auto& exchange) { answerMetrics(exchange); })
     , stopTimer_(loop)
     , secretTimer_(loop)
+    , random_(randomSource())
 {
     gate_ = std::make_unique<ServerGate>(ServerGateOptions { &loop_, &edges_, settings_, &counters_,
         [this](int key, TimePoint now) { return keys_ && keys_->mayRun(key, now); },
@@ -97,7 +101,7 @@
     transport_.setReachableHandler([this](bool isReachable) {
         log(LogLevel::Info, isReachable ? "store-regained" : "store-lost", {});
         if (isReachable)
-            store_.retryWatches();
+            store_.renewWatches();
     });
 }
 
@@ -123,12 +127,16 @@
 void Sidecar::watchStore()
 {
     store_.watch(edges_.configurationKind, [this](const StorePage& page, bool) {
-        if (configuration_.takeConfiguration(page))
-            onConfiguration();
+        if (!configuration_.takeConfiguration(page))
+            return;
+        tellOfChange(edges_.configurationKind, page.revision);
+        onConfiguration();
     });
     store_.watch(edges_.zonesOutKind, [this](const StorePage& page, bool isWhole) {
-        if (configuration_.takeZones(page, isWhole))
-            onZones();
+        if (!configuration_.takeZones(page, isWhole))
+            return;
+        tellOfChange(edges_.zonesOutKind, page.revision);
+        onZones();
     });
     store_.watch(fleetKind, [this](const StorePage& page, bool isWhole) { onFleet(page, isWhole); });
 }
@@ -215,7 +223,9 @@
         [this] { return server_->life(); }, [this] { return server_->isReady() && !isStopping_; },
         [this]() -> const std::set<std::string>& { return configuration_.zonesOut(); },
         [this] { return gate_->load(); }, &loads_, [this] { onDirectoryChange(); },
-        [this](const std::string& instance, int64_t revision) { notifyOfChange(instance, revision); } });
+        [this](const std::string& instance, int64_t revision) {
+            notifyOfChange(instance, fleetKind, revision);
+        } });
     keys_->start();
 }
 
@@ -226,18 +236,34 @@
     onDirectoryChange();
 }
 
-// Tells an instance that the fleet's objects have changed in a way that it waits for.
-void Sidecar::notifyOfChange(const std::string& instance, int64_t revision)
+// Tells an instance that objects of the kind have changed in a way that concerns it.
+void Sidecar::notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision)
 {
     const stored::InstanceEntry* entry = directory_.instance(instance);
     if (!entry || instance == settings_.name)
         return;
     peer::PeerMessage message;
-    message.fleetChange = peer::FleetChange { revision };
+    message.storeChange = peer::StoreChange { kind, revision };
     if (const LinkId link = network_->linkTo(entry->peerAddress))
         network_->send(link, { message, {} });
 }
 
+// Each instance that has learned of a change of the operator's tells some others, so that one whose own watch
+// has gone silent learns of it as well.
+void Sidecar::tellOfChange(const std::string& kind, int64_t revision)
+{
+    std::vector<std::string> others;
+    for (const auto& [name, entry] : directory_.instances()) {
+        if (name != settings_.name && !entry.value.departing)
+            others.push_back(name);
+    }
+    for (int told = 0; told < instancesTold && !others.empty(); ++told) {
+        std::swap(others[random_() % others.size()], others.back());
+        notifyOfChange(others.back(), kind, revision);
+        others.pop_back();
+    }
+}
+
 // A server beside this instance has come or leaves: who plans the key table has to act on it.
 void Sidecar::notifyPlanners()
 {
@@ -248,7 +274,7 @@
     for (const auto& [name, entry] : directory_.instances()) {
         if (entry.value.service != settings_.service || name == settings_.name)
             continue;
-        notifyOfChange(name, own->second.revision);
+        notifyOfChange(name, fleetKind, own->second.revision);
         if (++notified == likelyPlanners)
             return;
     }
@@ -291,8 +317,8 @@
         limits_->onShareRequest(link, *message.shareRequest);
     else if (message.shareGrant)
         limits_->onShareGrant(*message.shareGrant);
-    else if (message.fleetChange)
-        store_.hurryWatch(fleetKind, message.fleetChange->revision);
+    else if (message.storeChange)
+        store_.hurryWatch(message.storeChange->kind, message.storeChange->revision);
     else
         log(LogLevel::Warning, "frame-unexpected", { { "link", link } });
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -64,7 +64,8 @@
     void onZones();
     void onDirectoryChange();
     void notifyPlanners();
-    void notifyOfChange(const std::string& instance, int64_t revision);
+    void notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision);
+    void tellOfChange(const std::string& kind, int64_t revision);
     void onFrame(LinkId link, Frame frame);
     void answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const;
     void answerMetrics(const std::shared_ptr<HttpExchange>& exchange) const;
@@ -97,6 +98,7 @@
     HttpServer metrics_;
     asio::steady_timer stopTimer_;
     asio::steady_timer secretTimer_;
+    std::function<uint64_t()> random_;
     bool isJoining_ = false;
     bool isStopping_ = false;
     TimePoint stopBegan_;
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -26,6 +26,9 @@
     constexpr Milliseconds relayedWatchWait { 500 };
     // Beyond the wait: the other instance may have ended.
     constexpr Milliseconds relayedWatchPatience { 300 };
+    // How long a watch has to tell of a change that another instance knows of: longer than a slow store
+    // takes.
+    constexpr Milliseconds hurryPatience { 500 };
 
     absl::Status statusOf(const CallResult& result)
     {
@@ -40,7 +43,9 @@
 
 }
 
-// Follows one kind: a whole listing, then one waiting watch after the other.
+// Follows one kind: a whole listing, then one waiting watch after the other. After a break it lists anew: a
+// store that forgets its history, or a way to it that silenced one connection, may leave a watch that goes on
+// from an old revision without an answer.
 class StoreSession::KindWatch : public std::enable_shared_from_this<KindWatch> {
 public:
     KindWatch(StoreSession& session, std::string kind, ChangeHandler handler)
@@ -54,13 +59,15 @@
 
     void list()
     {
-        session_->list(kind_, false, [self = shared_from_this()](const absl::StatusOr<StorePage>& page) {
-            if (!self->session_)
-                return;
-            if (!page.ok())
-                return self->retry(page.status());
-            self->take(*page, true);
-        });
+        begin(Phase::Listing);
+        session_->list(
+            kind_, false, [self = shared_from_this(), step = step_](const absl::StatusOr<StorePage>& page) {
+                if (!self->session_ || self->step_ != step)
+                    return;
+                if (!page.ok())
+                    return self->retry(page.status());
+                self->take(*page, true);
+            });
     }
 
     void stop()
@@ -69,46 +76,74 @@
         timer_.cancel();
     }
 
-    void retryNow()
+    // A watch that was waiting when the store was lost may wait on a connection that has gone silent.
+    void renew()
     {
-        if (!std::exchange(isRetrying_, false))
-            return;
-        timer_.cancel();
-        resume();
+        if (phase_ == Phase::Watching)
+            session_->transport_.cancelWaiting(call_);
+        if (phase_ == Phase::Watching || phase_ == Phase::Retrying)
+            list();
     }
 
     void setInterval(Milliseconds interval) { interval_ = interval; }
 
     void hurry(int64_t revision)
     {
-        if (!isPausing_ || revision <= revision_)
+        if (revision <= revision_)
             return;
-        timer_.cancel();
-        follow();
+        if (phase_ == Phase::Pausing)
+            return follow();
+        if (phase_ != Phase::Watching || isHurried_)
+            return;
+        isHurried_ = true;
+        await(hurryPatience, [this, revision] { giveUpIfBehind(revision); });
     }
 
 private:
+    enum class Phase {
+        Listing,
+        Watching,
+        Pausing, // Until the interval has passed.
+        Retrying, // After a pause.
+    };
+
+    // What was begun before has no effect any more.
+    void begin(Phase phase)
+    {
+        phase_ = phase;
+        ++step_;
+        isHurried_ = false;
+        timer_.cancel();
+    }
+
+    // Does it after that time, if the same step lasts until then.
+    void await(Duration time, std::function<void()> action)
+    {
+        timer_.expires_after(time);
+        timer_.async_wait(
+            [self = shared_from_this(), step = step_, action = std::move(action)](std::error_code error) {
+                if (!error && self->session_ && self->step_ == step)
+                    action();
+            });
+    }
+
     // Follows on at once, or when the interval since the last watch has passed.
     void followInTime()
     {
         const Duration left = followedAt_ ? *followedAt_ + interval_ - BootClock::now() : Duration::zero();
         if (left <= Duration::zero())
             return follow();
-        isPausing_ = true;
-        timer_.expires_after(left);
-        timer_.async_wait([self = shared_from_this()](std::error_code error) {
-            if (!error && self->session_ && self->isPausing_)
-                self->follow();
-        });
+        begin(Phase::Pausing);
+        await(left, [this] { follow(); });
     }
 
     void follow()
     {
-        isPausing_ = false;
+        begin(Phase::Watching);
         followedAt_ = BootClock::now();
-        session_->fetchEvents(
-            kind_, revision_, [self = shared_from_this()](const absl::StatusOr<StorePage>& page) {
-                if (!self->session_)
+        call_ = session_->fetchEvents(kind_, revision_,
+            [self = shared_from_this(), step = step_](const absl::StatusOr<StorePage>& page) {
+                if (!self->session_ || self->step_ != step)
                     return;
                 if (absl::IsOutOfRange(page.status()))
                     return self->list();
@@ -118,13 +153,25 @@
             });
     }
 
+    // The watch under way should have told of the revision by now: its connection has gone silent.
+    void giveUpIfBehind(int64_t revision)
+    {
+        if (revision <= revision_)
+            return;
+        log(LogLevel::Info, "store-watch-silent",
+            { { "kind", kind_ }, { "revision", revision_ }, { "newer", revision } });
+        session_->transport_.cancelWaiting(call_);
+        list();
+    }
+
     void take(const StorePage& page, bool isWhole)
     {
         pause_ = session_->pauses_.first;
         revision_ = std::max(revision_, page.revision);
+        const auto step = step_;
         if (isWhole || !page.objects.empty())
             handler_(page, isWhole);
-        if (session_)
+        if (session_ && step == step_)
             followInTime();
     }
 
@@ -132,21 +179,9 @@
     {
         log(LogLevel::Info, "store-watch-broken",
             { { "kind", kind_ }, { "revision", revision_ }, { "cause", std::string(cause.message()) } });
-        isRetrying_ = true;
-        timer_.expires_after(pause_);
+        begin(Phase::Retrying);
+        await(pause_, [this] { list(); });
         pause_ = std::min(pause_ * 2, session_->pauses_.longest);
-        timer_.async_wait([self = shared_from_this()](std::error_code error) {
-            if (!error && self->session_ && std::exchange(self->isRetrying_, false))
-                self->resume();
-        });
-    }
-
-    void resume()
-    {
-        if (revision_ > 0)
-            follow();
-        else
-            list();
     }
 
     StoreSession* session_; // Null once stopped.
@@ -154,10 +189,12 @@
     ChangeHandler handler_;
     asio::steady_timer timer_;
     Milliseconds pause_;
-    bool isRetrying_ = false; // After the pause.
     Milliseconds interval_ { 0 };
     std::optional<TimePoint> followedAt_;
-    bool isPausing_ = false; // Until the interval has passed.
+    Phase phase_ = Phase::Listing;
+    int64_t step_ = 0; // Counts what was begun.
+    bool isHurried_ = false; // The watch under way is given up soon unless it tells of a newer revision.
+    StoreTransport::CallId call_ = 0; // The watch under way.
     int64_t revision_ = 0;
 };
 
@@ -183,10 +220,10 @@
     watch->list();
 }
 
-void StoreSession::retryWatches()
+void StoreSession::renewWatches()
 {
     for (const auto& [kind, watch] : watches_)
-        watch->retryNow();
+        watch->renew();
 }
 
 void StoreSession::setWatchInterval(const std::string& kind, Milliseconds interval)
@@ -196,7 +233,9 @@
 
 void StoreSession::hurryWatch(const std::string& kind, int64_t revision)
 {
-    watches_.at(kind)->hurry(revision);
+    const auto watch = watches_.find(kind);
+    if (watch != watches_.end())
+        watch->second->hurry(revision);
 }
 
 void StoreSession::list(const std::string& kind, bool mayBeStale, const PageDone& done)
@@ -225,12 +264,13 @@
         });
 }
 
-void StoreSession::fetchEvents(const std::string& kind, int64_t afterRevision, const PageDone& done)
+StoreTransport::CallId StoreSession::fetchEvents(
+    const std::string& kind, int64_t afterRevision, const PageDone& done)
 {
     const bool isDirect = transport_.isReachable();
     const Milliseconds wait = isDirect ? watchWait : relayedWatchWait;
     const Milliseconds patience = isDirect ? callTimeout : relayedWatchPatience;
-    transport_.callWaiting(dialect_.watch(kind, afterRevision, wait), wait + patience,
+    return transport_.callWaiting(dialect_.watch(kind, afterRevision, wait), wait + patience,
         [this, kind, done](const CallResult& result) {
             if (absl::Status status = statusOf(result); !status.ok())
                 return done(std::move(status));
--- a/src/store/storesession.h
+++ b/src/store/storesession.h
@@ -51,20 +51,21 @@
     // Keeps the handler informed of a kind from now on.
     void watch(const std::string& kind, ChangeHandler handler);
 
-    // The store answers again: watches that broke do not wait for their next try.
-    void retryWatches();
+    // The store answers again: watches that broke meanwhile, or may have gone silent, begin anew at once.
+    void renewWatches();
 
     // Watches of the kind begin no more often than once in that time; changes between come together.
     void setWatchInterval(const std::string& kind, Milliseconds interval);
 
-    // Reads now what changed of the kind, where less than the revision is known.
+    // Another instance knows of that revision of the kind. Where less is known here, reads now what changed;
+    // a watch under way that does not tell of it soon is given up, since its connection has gone silent.
     void hurryWatch(const std::string& kind, int64_t revision);
 
 private:
     class KindWatch;
 
     void listFrom(const std::string& kind, bool mayBeStale, StorePage before, const PageDone& done);
-    void fetchEvents(const std::string& kind, int64_t afterRevision, const PageDone& done);
+    StoreTransport::CallId fetchEvents(const std::string& kind, int64_t afterRevision, const PageDone& done);
 
     asio::io_context& loop_;
     StoreTransport& transport_;
--- a/src/store/storetransport.cpp
+++ b/src/store/storetransport.cpp
@@ -47,11 +47,19 @@
     });
 }
 
-void StoreTransport::callWaiting(const HttpRequest& request, Duration timeout, const Done& done)
+StoreTransport::CallId StoreTransport::callWaiting(
+    const HttpRequest& request, Duration timeout, const Done& done)
 {
     if (isReachable_)
         return callDirectly(request, timeout, done);
     call(request, timeout, done);
+    return 0;
+}
+
+void StoreTransport::cancelWaiting(CallId id)
+{
+    client_.cancel(id);
+    client_.closeIdle();
 }
 
 bool StoreTransport::callForOther(const HttpRequest& request, Duration timeout, const Done& done)
@@ -62,9 +70,10 @@
     return true;
 }
 
-void StoreTransport::callDirectly(const HttpRequest& request, Duration timeout, const Done& done)
+StoreTransport::CallId StoreTransport::callDirectly(
+    const HttpRequest& request, Duration timeout, const Done& done)
 {
-    client_.call(request, timeout, [this, done](CallResult result) {
+    return client_.call(request, timeout, [this, done](CallResult result) {
         noteDirect(!isTurnedAway(result));
         done(std::move(result));
     });
--- a/src/store/storetransport.h
+++ b/src/store/storetransport.h
@@ -14,6 +14,7 @@
 class StoreTransport {
 public:
     using Done = HttpClient::Done;
+    using CallId = HttpClient::CallId;
     // Hands a call to another instance; answers false when none can be asked.
     using Relay = std::function<bool(const HttpRequest& request, Duration timeout, const Done& done)>;
 
@@ -25,8 +26,12 @@
     void call(const HttpRequest& request, Duration timeout, const Done& done);
 
     // The same for a call that waits long: it is not handed on after it failed, since another instance must
-    // not be kept waiting as long.
-    void callWaiting(const HttpRequest& request, Duration timeout, const Done& done);
+    // not be kept waiting as long. The id is 0 where the call cannot be cancelled.
+    CallId callWaiting(const HttpRequest& request, Duration timeout, const Done& done);
+
+    // Gives up a call whose connection seems to have gone silent; `done` is not called. The connections that
+    // lie idle are not used again either.
+    void cancelWaiting(CallId id);
 
     // Calls the store straight only, for another instance; false when this one is turned away itself.
     bool callForOther(const HttpRequest& request, Duration timeout, const Done& done);
@@ -40,7 +45,7 @@
     bool isReachable() const { return isReachable_; }
 
 private:
-    void callDirectly(const HttpRequest& request, Duration timeout, const Done& done);
+    CallId callDirectly(const HttpRequest& request, Duration timeout, const Done& done);
     void noteDirect(bool isGood);
 
     HttpClient client_;
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -303,6 +303,21 @@
         LONGS_EQUAL(404, statusOf(0, orderRequest()));
 }
 
+// The instance's own watch has gone silent, without a reset: others tell it.
+TEST(Sidecar, AnInstanceWhoseWatchesHangLearnsOfAConfigurationFromOthers)
+{
+    FaultProxy storeProxy(loop, proxiedStoreAddress, storeAddress);
+    begin({ "orders", "orders", "orders" });
+    // The first one knows of the third.
+    CHECK(runUntil([this] {
+        LONGS_EQUAL(200, statusOf(0, orderRequest()));
+        return !serverOf(2).runs().empty();
+    }));
+    storeProxy.silenceOpen();
+    store->put("config", "main", configuration(3, false));
+    CHECK(runUntil([this] { return statusOf(2, orderRequest()) == 404; }));
+}
+
 TEST(Sidecar, AZoneThatIsTakenOutGetsNothingUntilItIsBack)
 {
     begin({ "orders", "orders" });
--- a/tests/sidecar/storewatch.cpp
+++ b/tests/sidecar/storewatch.cpp
@@ -1,6 +1,7 @@
 // The store's event-driven session against the stand-in store: how often it watches.
 
 #include "platformedges.h"
+#include "standins/faultproxy.h"
 #include "standins/loopback.h"
 #include "store/storesession.h"
 
@@ -11,6 +12,7 @@
 namespace {
 
 const Address storeAddress { "127.0.0.1", 18'798 };
+const Address proxiedStoreAddress { "127.0.0.1", 18'796 };
 constexpr const char* kind = "things";
 constexpr Milliseconds longTime { 20'000 };
 
@@ -93,7 +95,7 @@
     store.setDown(false);
     store.put(kind, "first", {});
     // The next try by itself would come after an hour.
-    transport.setReachableHandler([this](bool) { session.retryWatches(); });
+    transport.setReachableHandler([this](bool) { session.renewWatches(); });
     CHECK(runUntil([this] {
         session.list("others", false, [](const absl::StatusOr<StorePage>&) {});
         loop.restart();
@@ -101,3 +103,74 @@
         return seen.count("first") > 0;
     }));
 }
+
+TEST(StoreWatch, ABrokenWatchListsAnew)
+{
+    StoreSession prompt { loop, transport, platform::platformEdges().store };
+    prompt.watch(kind, [this](const StorePage& page, bool) {
+        for (const StoreObject& object : page.objects)
+            seen.insert(object.name);
+    });
+    CHECK(runUntil([this] { return store.watchCalls() == 1; }));
+    store.cutWatches();
+    store.put(kind, "first", {});
+    CHECK(sees("first"));
+    // It goes on from the revision of the listing.
+    CHECK(runUntil([this] { return store.watchCalls() == 2; }));
+    store.put(kind, "second", {});
+    CHECK(sees("second"));
+}
+
+TEST(StoreWatch, AWatchThatHasGoneSilentIsGivenUpForANewerRevision)
+{
+    FaultProxy proxy(loop, proxiedStoreAddress, storeAddress);
+    StoreTransport proxied { loop, proxiedStoreAddress };
+    bool wasLost = false;
+    proxied.setReachableHandler([&wasLost](bool isReachable) { wasLost = wasLost || !isReachable; });
+    StoreSession prompt { loop, proxied, platform::platformEdges().store };
+    prompt.watch(kind, [this](const StorePage& page, bool) {
+        for (const StoreObject& object : page.objects)
+            seen.insert(object.name);
+    });
+    // A connection of its own for the watch, and one that lies idle.
+    prompt.list("others", false, [](const absl::StatusOr<StorePage>&) {});
+    CHECK(runUntil([this] { return store.watchCalls() == 1; }));
+    proxy.silenceOpen();
+    store.put(kind, "first", {});
+    prompt.hurryWatch(kind, store.revision());
+    CHECK(sees("first"));
+    // The way to the store was there all the while.
+    CHECK_FALSE(wasLost);
+}
+
+// Only a call that came later notices that the connections have gone silent.
+TEST(StoreWatch, AWatchThatHasGoneSilentBeginsAnewWhenTheStoreIsBack)
+{
+    FaultProxy proxy(loop, proxiedStoreAddress, storeAddress);
+    StoreTransport proxied { loop, proxiedStoreAddress };
+    StoreSession prompt { loop, proxied, platform::platformEdges().store };
+    proxied.setReachableHandler([&prompt](bool isReachable) {
+        if (isReachable)
+            prompt.renewWatches();
+    });
+    prompt.watch(kind, [this](const StorePage& page, bool) {
+        for (const StoreObject& object : page.objects)
+            seen.insert(object.name);
+    });
+    int calls = 0;
+    prompt.list("others", false, [&calls](const absl::StatusOr<StorePage>&) { ++calls; });
+    CHECK(runUntil([this, &calls] { return store.watchCalls() == 1 && calls == 1; }));
+    proxy.silenceOpen();
+    store.put(kind, "first", {});
+    for (int i = 1; i <= 2; ++i) {
+        prompt.list("others", false, [&calls](const absl::StatusOr<StorePage>&) { ++calls; });
+        CHECK(runUntil([i, &calls] { return calls == i + 1; }));
+    }
+    CHECK(sees("first"));
+}
+
+TEST(StoreWatch, AChangeOfAKindThatIsNotWatchedIsPassedOver)
+{
+    session.hurryWatch("others", 1'000);
+    LONGS_EQUAL(0, store.watchCalls());
+}
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -48,6 +48,13 @@
     answerWatches();
 }
 
+void StandInStore::cutWatches()
+{
+    unansweredTo_ = revision_ + 1;
+    for (const Watch& watch : std::exchange(watches_, {}))
+        answer(watch.exchange, 503, json::object());
+}
+
 void StandInStore::remove(const std::string& kind, const std::string& name)
 {
     objects_[{ kind, name }] = { {}, ++revision_, true };
@@ -128,7 +135,7 @@
     std::vector<Watch> waiting;
     for (Watch& watch : std::exchange(watches_, {})) {
         const json events = eventsAfter(watch.kind, watch.after);
-        if (events.empty())
+        if (events.empty() || watch.after < unansweredTo_)
             waiting.push_back(std::move(watch));
         else
             answer(watch.exchange, 200, { { "events", events }, { "atRev", revision_ } });
--- a/tests/standins/loopback.h
+++ b/tests/standins/loopback.h
@@ -33,6 +33,8 @@
     void setDelay(Milliseconds delay) { delay_ = delay; }
     // Watches from before now are told that their history is gone.
     void forgetHistory() { forgottenTo_ = revision_; }
+    // Breaks the waiting watches off; those that go on from before now are never answered.
+    void cutWatches();
     // What readers are shown of an object's value.
     using View = std::function<nlohmann::json(
         const std::string& kind, const std::string& name, const nlohmann::json&)>;
@@ -40,6 +42,7 @@
     // Carries the next writes out without answering them.
     void loseAnswersOfNextWrites(int count) { lostAnswers_ = count; }
 
+    int64_t revision() const { return revision_; }
     int64_t writes() const { return writes_; }
     int64_t watchCalls() const { return watchCalls_; }
 
@@ -71,6 +74,7 @@
     View view_;
     Milliseconds delay_ { 0 };
     int64_t forgottenTo_ = 0;
+    int64_t unansweredTo_ = 0;
     std::map<Key, Object> objects_;
     std::vector<Watch> watches_;
     int64_t revision_ = 1;
