Keys: servers tell their mean busyness, and a busy one spreads its keys over several at once

Each owner judged others by samples of their queues that it heard every few seconds, and gave one part of its keys to one of them every 2.5 s; requests that found no room counted for nothing.

Change: a gate keeps the mean of its busyness over about a second, with what it refused for want of room, and tells it in its replies (busyPercent); a busy owner divides its load among as many others as it takes (spreadLoad).

--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -28,6 +28,8 @@
     constexpr double worthMoving = 0.4;
     // The effect of one move shows before the next.
     constexpr Milliseconds offloadInterval { 2'500 };
+    // Servers among which a busy one finds those that take its keys.
+    constexpr size_t mostOffloadTargets = 12;
     // Reports that a hold outlasts.
     constexpr int reportsInHold = 3;
 
@@ -296,39 +298,50 @@
 void KeyDuty::noteRequest(int key, TimePoint now)
 {
     load_.note(key, now);
-    ownBoard_.note(options_.settings.name, options_.ownLoad(), now);
 }
 
-// Where the own server is much busier than another one, a part of its keys moves there.
+// Where the own server is much busier than others, parts of its keys move to some of them.
 std::optional<stored::KeyTable> KeyDuty::offloaded(
     const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now)
 {
-    const auto own = ownBoard_.busyness(options_.settings.name, now);
-    if (now < nextOffload_ || now >= leases_.grantableUntil() || own.value_or(0) < busyServer)
+    const double own = options_.ownBusyness(now);
+    if (now < nextOffload_ || now >= leases_.grantableUntil() || own < busyServer)
         return std::nullopt;
-    const KeyMember* idlest = nullptr;
-    double least = *own - worthMoving;
-    for (const KeyMember& member : members) {
-        const auto other = options_.loads->busyness(member.instance, now);
-        const bool isCandidate
-            = member.instance != options_.settings.name && member.takesKeys && other && *other <= least;
-        if (!isCandidate)
-            continue;
-        idlest = &member;
-        least = *other;
-    }
-    if (!idlest)
+    const auto portions = spreadLoad(own, lessBusy(members, own - worthMoving, now));
+    if (portions.empty())
         return std::nullopt;
     nextOffload_ = now + offloadInterval;
     load_.age(now);
-    auto result
-        = offloadKeys(table, options_.settings.name, load_, (*own - least) / 2 / *own, idlest->instance);
-    if (result)
+    std::optional<stored::KeyTable> result;
+    for (const LoadPortion& portion : portions) {
+        const stored::KeyTable& before = result ? *result : table;
+        auto after = offloadKeys(before, options_.settings.name, load_, portion.share, portion.target);
+        if (!after)
+            continue;
+        result = std::move(after);
         log(LogLevel::Info, "keys-offloaded",
-            { { "to", idlest->instance }, { "ownBusyness", *own }, { "itsBusyness", least } });
+            { { "to", portion.target }, { "share", portion.share }, { "ownBusyness", own } });
+    }
     return result;
 }
 
+// Members that are at most so busy: all of few, and some of many, since others may be about to give them keys
+// as well.
+std::vector<MemberLoad> KeyDuty::lessBusy(const std::vector<KeyMember>& members, double most, TimePoint now)
+{
+    std::vector<MemberLoad> found;
+    for (const KeyMember& member : members) {
+        const auto busyness = options_.loads->busyness(member.instance, now);
+        if (member.instance != options_.settings.name && member.takesKeys && busyness && *busyness <= most)
+            found.push_back({ member.instance, *busyness });
+    }
+    while (found.size() > mostOffloadTargets) {
+        std::swap(found[random_() % found.size()], found.back());
+        found.pop_back();
+    }
+    return found;
+}
+
 void KeyDuty::updateTable()
 {
     if (pendingTable_ || !options_.directory->isLoaded())
--- a/src/sidecar/keyduty.h
+++ b/src/sidecar/keyduty.h
@@ -2,6 +2,7 @@
 
 #include "ownership/keyholder.h"
 #include "ownership/keyload.h"
+#include "ownership/loadspread.h"
 #include "sidecar/fleetdirectory.h"
 #include "sidecar/keyleaseduty.h"
 #include "sidecar/loadboard.h"
@@ -30,7 +31,7 @@
     std::function<std::optional<ServerLife>()> serverLife;
     std::function<bool()> isServerReady; // Neither leaving nor silent.
     std::function<const std::set<std::string>&()> zonesOut;
-    std::function<peer::ServerLoad()> ownLoad;
+    std::function<double(TimePoint now)> ownBusyness; // As LoadBoard has it of others.
     const LoadBoard* loads = nullptr;
     // The key table or the leases have changed by a write of this instance.
     std::function<void()> onChange;
@@ -68,6 +69,7 @@
         const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now) const;
     std::optional<stored::KeyTable> offloaded(
         const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now);
+    std::vector<MemberLoad> lessBusy(const std::vector<KeyMember>& members, double most, TimePoint now);
     bool isPlanner(const std::vector<KeyMember>& members, TimePoint now) const;
     bool mayMakeFirstTable(const std::vector<KeyMember>& members, TimePoint now);
     void writeTable(const stored::KeyTable& table, int64_t expectedRevision, bool isConfirmation);
@@ -109,7 +111,6 @@
     bool isAloneAtAddress_ = false;
     TimePoint nextTableWrite_;
     KeyLoad load_;
-    LoadBoard ownBoard_; // How busy the own server was, smoothed as that of others.
     TimePoint nextOffload_;
     bool isConfirming_ = false;
     size_t lastMemberCount_ = 0;
--- a/src/sidecar/loadboard.cpp
+++ b/src/sidecar/loadboard.cpp
@@ -1,25 +1,18 @@
 #include "sidecar/loadboard.h"
 
-#include <algorithm>
-
 namespace persimmonfield {
 namespace {
 
-    // What was heard is of use for so long.
-    constexpr Milliseconds freshFor { 2'000 };
-    constexpr double sampleWeight = 0.15;
+    // What was heard is of use for so long: among many servers, one is heard of every few seconds.
+    constexpr Milliseconds freshFor { 4'000 };
+    constexpr double wholePercent = 100;
 
 }
 
 void LoadBoard::note(const std::string& instance, const peer::ServerLoad& load, TimePoint now)
 {
-    if (load.slots < 1)
-        return;
-    const double sample = static_cast<double>(load.running + load.waiting) / static_cast<double>(load.slots);
-    Seen& seen = seen_[instance];
-    const bool isFresh = now - seen.at < freshFor;
-    seen.busyness = isFresh ? seen.busyness + (sample - seen.busyness) * sampleWeight : sample;
-    seen.at = now;
+    if (load.slots >= 1)
+        seen_[instance] = { static_cast<double>(load.busyPercent) / wholePercent, now };
 }
 
 std::optional<double> LoadBoard::busyness(const std::string& instance, TimePoint now) const
--- a/src/sidecar/loadboard.h
+++ b/src/sidecar/loadboard.h
@@ -14,7 +14,7 @@
 public:
     void note(const std::string& instance, const peer::ServerLoad& load, TimePoint now);
 
-    // Requests that run or wait by the number of slots, smoothed; nothing when nothing was heard lately.
+    // What ServerGate::busyness said there; nothing when nothing was heard lately.
     std::optional<double> busyness(const std::string& instance, TimePoint now) const;
 
 private:
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -21,6 +21,7 @@
     // What is sent at the deadline cannot be answered in time.
     constexpr Milliseconds leastTimeLeft { 5 };
     constexpr int usualPacePercent = 100;
+    constexpr double wholePercent = 100;
 
     HttpClientOptions clientOptions(const ServerGateOptions& options)
     {
@@ -62,7 +63,7 @@
     startWaiting();
 }
 
-peer::ServerLoad ServerGate::load() const
+peer::ServerLoad ServerGate::load(TimePoint now) const
 {
     peer::ServerLoad load = reportedLoad_;
     load.running = static_cast<int64_t>(running_.size());
@@ -70,6 +71,7 @@
     load.slots = server_ ? server_->slots : 0;
     if (load.pacePercent == 0)
         load.pacePercent = usualPacePercent;
+    load.busyPercent = std::lround(busyness(now) * wholePercent);
     return load;
 }
 
@@ -100,12 +102,16 @@
     return found == usualWork_.end() ? Duration::zero() : found->second;
 }
 
+// The same with a guess for a route that was not measured yet.
+Duration ServerGate::expectedWork(const GateCall& call, TimePoint now) const
+{
+    const Duration work = expectedWork(call.request.route);
+    return work == Duration::zero() ? (call.objectiveEnd - now) / firstWorkPart : work;
+}
+
 ServerGate::Rank ServerGate::rankOf(CallId id, const GateCall& call, TimePoint now) const
 {
-    Duration work = expectedWork(call.request.route);
-    if (work == Duration::zero())
-        work = (call.objectiveEnd - now) / firstWorkPart;
-    return { call.request.priority, call.objectiveEnd - work, id };
+    return { call.request.priority, call.objectiveEnd - expectedWork(call, now), id };
 }
 
 // How long a request of that rank would wait for a slot.
@@ -131,7 +137,7 @@
         return id;
     }
     if (call.request.partition >= 0)
-        options_.onKey(static_cast<int>(call.request.partition), now);
+        noteKeyed(call, now);
     const Rank rank = rankOf(id, call, now);
     const Duration wait = expectedWait(rank, now);
     if (wait > Duration::zero() && now + wait > rank.latestStart) {
@@ -204,6 +210,7 @@
             start(id, std::move(call), now);
     }
     refuseOverdue(now);
+    noteBusyness(now);
 }
 
 // What waits in the queue must not be kept past its objective.
@@ -310,13 +317,25 @@
     usual = usual == Duration::zero() ? work : usual + (work - usual) / usualWorkWeight;
 }
 
+void ServerGate::noteBusyness(TimePoint now)
+{
+    const int slots = server_ ? std::max(1, server_->slots) : 1;
+    busyness_.set(static_cast<double>(running_.size() + waiting_.size()) / slots, now);
+}
+
+void ServerGate::noteKeyed(const GateCall& call, TimePoint now)
+{
+    options_.onKey(static_cast<int>(call.request.partition), now);
+    offered_.add(std::max(Duration::zero(), expectedWork(call, now)) / std::max(1, server_->slots), now);
+}
+
 void ServerGate::answer(const GateCall& call, Reply reply) const
 {
     if (!reply.isAnswer)
         options_.counters->counter("gate_refusals_total", "reason", refusalToken(reply.reason))++;
     if (!call.reply)
         return;
-    reply.load = load();
+    reply.load = load(BootClock::now());
     call.reply(std::move(reply));
 }
 
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -2,6 +2,7 @@
 
 #include "base/counters.h"
 #include "http/httpclient.h"
+#include "limits/loadmeter.h"
 #include "messages/reply.h"
 #include "sidecar/edges.h"
 #include "sidecar/sidecarsettings.h"
@@ -9,6 +10,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -71,7 +73,9 @@
     // Requests a second that the server bears while cold; 0 for any number.
     void setColdRate(double perSecond) { coldRate_ = perSecond; }
 
-    peer::ServerLoad load() const;
+    peer::ServerLoad load(TimePoint now) const;
+    // Requests that run, wait or are refused for want of room, by slots: the mean of about the last second.
+    double busyness(TimePoint now) const { return std::max(busyness_.mean(now), offered_.mean(now)); }
     bool isIdle() const { return waiting_.empty() && running_.empty(); }
 
 private:
@@ -97,6 +101,7 @@
 
     std::optional<Reply> refusal(const GateCall& call, TimePoint now) const;
     Duration expectedWork(const std::string& route) const;
+    Duration expectedWork(const GateCall& call, TimePoint now) const;
     Duration expectedWait(const Rank& rank, TimePoint now) const;
     void startWaiting();
     bool mayStart(TimePoint now);
@@ -106,6 +111,8 @@
     Reply replyOf(CallResult result);
     Rank rankOf(CallId id, const GateCall& call, TimePoint now) const;
     void noteWork(const std::string& route, Duration work);
+    void noteBusyness(TimePoint now);
+    void noteKeyed(const GateCall& call, TimePoint now);
     void armTimer(TimePoint at);
     void refuseOverdue(TimePoint now);
     void answer(const GateCall& call, Reply reply) const;
@@ -123,6 +130,8 @@
     std::deque<TimePoint> startedLately_; // Within the last second.
     std::map<std::string, Duration> usualWork_; // By route.
     peer::ServerLoad reportedLoad_ {};
+    LoadMeter busyness_; // Requests that run or wait, by slots.
+    LoadMeter offered_; // What requests for keys would take, by slots, whether they found room or not.
 };
 
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -222,7 +222,7 @@
     keys_ = std::make_unique<KeyDuty>(KeyDutyOptions { &loop_, settings_, incarnation_, &store_, &directory_,
         [this] { return server_->life(); }, [this] { return server_->isReady() && !isStopping_; },
         [this]() -> const std::set<std::string>& { return configuration_.zonesOut(); },
-        [this] { return gate_->load(); }, &loads_, [this] { onDirectoryChange(); },
+        [this](TimePoint now) { return gate_->busyness(now); }, &loads_, [this] { onDirectoryChange(); },
         [this](const std::string& instance, int64_t revision) {
             notifyOfChange(instance, fleetKind, revision);
         } });
