Store: paced watches may be answered from a stale copy

Somebody who knows of a newer revision still has it read at once, and from the store itself.

Test: PacedWatchesMayBeStaleButHurriedOnesMayNot (failed before).

--- a/src/store/storedialect.h
+++ b/src/store/storedialect.h
@@ -42,7 +42,9 @@
 // gone, 429 and 503 for a call that was refused.
 struct StoreDialect {
     std::function<HttpRequest(const std::string& kind, const std::string& after, bool mayBeStale)> list;
-    std::function<HttpRequest(const std::string& kind, int64_t afterRevision, Milliseconds wait)> watch;
+    std::function<HttpRequest(
+        const std::string& kind, int64_t afterRevision, Milliseconds wait, bool mayBeStale)>
+        watch;
     std::function<HttpRequest(const StoreWrite& write)> write;
     std::function<absl::StatusOr<StorePage>(const std::string& kind, const std::string& body)> readPage;
     std::function<absl::StatusOr<StorePage>(const std::string& kind, const std::string& body)> readEvents;
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -91,8 +91,10 @@
     {
         if (revision <= revision_)
             return;
-        if (phase_ == Phase::Pausing)
-            return follow();
+        if (phase_ == Phase::Pausing || isStale_) {
+            session_->transport_.cancelWaiting(call_);
+            return follow(false);
+        }
         if (phase_ != Phase::Watching || isHurried_)
             return;
         isHurried_ = true;
@@ -113,6 +115,7 @@
         phase_ = phase;
         ++step_;
         isHurried_ = false;
+        isStale_ = false;
         timer_.cancel();
     }
 
@@ -131,17 +134,20 @@
     void followInTime()
     {
         const Duration left = followedAt_ ? *followedAt_ + interval_ - BootClock::now() : Duration::zero();
+        // Where changes may be learned of later anyway, they may be read from a stale copy, which costs less.
+        const bool mayBeStale = interval_ > Milliseconds(0);
         if (left <= Duration::zero())
-            return follow();
+            return follow(mayBeStale);
         begin(Phase::Pausing);
-        await(left, [this] { follow(); });
+        await(left, [this, mayBeStale] { follow(mayBeStale); });
     }
 
-    void follow()
+    void follow(bool mayBeStale)
     {
         begin(Phase::Watching);
+        isStale_ = mayBeStale;
         followedAt_ = BootClock::now();
-        call_ = session_->fetchEvents(kind_, revision_,
+        call_ = session_->fetchEvents(kind_, revision_, mayBeStale,
             [self = shared_from_this(), step = step_](const absl::StatusOr<StorePage>& page) {
                 if (!self->session_ || self->step_ != step)
                     return;
@@ -161,6 +167,7 @@
         log(LogLevel::Info, "store-watch-silent",
             { { "kind", kind_ }, { "revision", revision_ }, { "newer", revision } });
         session_->transport_.cancelWaiting(call_);
+        session_->transport_.closeIdle();
         list();
     }
 
@@ -194,6 +201,7 @@
     Phase phase_ = Phase::Listing;
     int64_t step_ = 0; // Counts what was begun.
     bool isHurried_ = false; // The watch under way is given up soon unless it tells of a newer revision.
+    bool isStale_ = false; // The watch under way reads from a copy that may be stale.
     StoreTransport::CallId call_ = 0; // The watch under way.
     int64_t revision_ = 0;
 };
@@ -265,12 +273,12 @@
 }
 
 StoreTransport::CallId StoreSession::fetchEvents(
-    const std::string& kind, int64_t afterRevision, const PageDone& done)
+    const std::string& kind, int64_t afterRevision, bool mayBeStale, const PageDone& done)
 {
     const bool isDirect = transport_.isReachable();
     const Milliseconds wait = isDirect ? watchWait : relayedWatchWait;
     const Milliseconds patience = isDirect ? callTimeout : relayedWatchPatience;
-    return transport_.callWaiting(dialect_.watch(kind, afterRevision, wait), wait + patience,
+    return transport_.callWaiting(dialect_.watch(kind, afterRevision, wait, mayBeStale), wait + patience,
         [this, kind, done](const CallResult& result) {
             if (absl::Status status = statusOf(result); !status.ok())
                 return done(std::move(status));
--- a/src/store/storesession.h
+++ b/src/store/storesession.h
@@ -54,7 +54,8 @@
     // The store answers again: watches that broke meanwhile, or may have gone silent, begin anew at once.
     void renewWatches();
 
-    // Watches of the kind begin no more often than once in that time; changes between come together.
+    // Watches of the kind begin no more often than once in that time; changes between come together, and may
+    // come from a copy of the store that is seconds old.
     void setWatchInterval(const std::string& kind, Milliseconds interval);
 
     // Another instance knows of that revision of the kind. Where less is known here, reads now what changed;
@@ -65,7 +66,8 @@
     class KindWatch;
 
     void listFrom(const std::string& kind, bool mayBeStale, StorePage before, const PageDone& done);
-    StoreTransport::CallId fetchEvents(const std::string& kind, int64_t afterRevision, const PageDone& done);
+    StoreTransport::CallId fetchEvents(
+        const std::string& kind, int64_t afterRevision, bool mayBeStale, const PageDone& done);
 
     asio::io_context& loop_;
     StoreTransport& transport_;
--- a/src/store/storetransport.cpp
+++ b/src/store/storetransport.cpp
@@ -56,12 +56,6 @@
     return 0;
 }
 
-void StoreTransport::cancelWaiting(CallId id)
-{
-    client_.cancel(id);
-    client_.closeIdle();
-}
-
 bool StoreTransport::callForOther(const HttpRequest& request, Duration timeout, const Done& done)
 {
     if (!isReachable_)
--- a/src/store/storetransport.h
+++ b/src/store/storetransport.h
@@ -29,9 +29,11 @@
     // not be kept waiting as long. The id is 0 where the call cannot be cancelled.
     CallId callWaiting(const HttpRequest& request, Duration timeout, const Done& done);
 
-    // Gives up a call whose connection seems to have gone silent; `done` is not called. The connections that
-    // lie idle are not used again either.
-    void cancelWaiting(CallId id);
+    // Gives a waiting call up; `done` is not called.
+    void cancelWaiting(CallId id) { client_.cancel(id); }
+
+    // Connections seem to have gone silent: those that lie idle are not used again.
+    void closeIdle() { client_.closeIdle(); }
 
     // Calls the store straight only, for another instance; false when this one is turned away itself.
     bool callForOther(const HttpRequest& request, Duration timeout, const Done& done);
--- a/tests/sidecar/storewatch.cpp
+++ b/tests/sidecar/storewatch.cpp
@@ -71,6 +71,22 @@
     LONGS_EQUAL(2, store.watchCalls());
 }
 
+// What is read late anyway is read for less; what somebody waits for is not.
+TEST(StoreWatch, PacedWatchesMayBeStaleButHurriedOnesMayNot)
+{
+    watch();
+    session.setWatchInterval(kind, Milliseconds(1));
+    CHECK(runUntil([this] { return store.watchCalls() == 1; }));
+    store.put(kind, "first", {});
+    CHECK(runUntil([this] { return store.watchCalls() == 2; }));
+    LONGS_EQUAL(2, store.staleWatchCalls());
+    session.hurryWatch(kind, store.revision() + 1);
+    CHECK(runUntil([this] { return store.watchCalls() == 3; }));
+    LONGS_EQUAL(2, store.staleWatchCalls());
+    store.put(kind, "second", {});
+    CHECK(sees("second"));
+}
+
 TEST(StoreWatch, WhatIsKnownIsNotReadAgain)
 {
     store.put(kind, "first", {});
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -99,6 +99,7 @@
     int64_t revision = 0;
     if (absl::SimpleAtoi(after, &revision)) {
         ++watchCalls_;
+        staleWatchCalls_ += queryValue(exchange->request().target, "allowStale") == "1" ? 1 : 0;
         if (revision < forgottenTo_)
             return answer(exchange, 410, json::object());
         watches_.push_back({ kind, revision, exchange });
--- a/tests/standins/loopback.h
+++ b/tests/standins/loopback.h
@@ -45,6 +45,8 @@
     int64_t revision() const { return revision_; }
     int64_t writes() const { return writes_; }
     int64_t watchCalls() const { return watchCalls_; }
+    // Those of them that may be answered from a stale copy.
+    int64_t staleWatchCalls() const { return staleWatchCalls_; }
 
 private:
     struct Object {
@@ -80,6 +82,7 @@
     int64_t revision_ = 1;
     int64_t writes_ = 0;
     int64_t watchCalls_ = 0;
+    int64_t staleWatchCalls_ = 0;
     int lostAnswers_ = 0;
     bool isDown_ = false;
     std::vector<std::shared_ptr<HttpExchange>> lost_;
