Limits: a team's tokens are kept by eight instances at most

Cause: a rate divided over all of 71 instances gave each 0.6 tokens a second of an average team, while the team's callers sat at a dozen of them.

Change: eight instances, by rendezvous hashing of the team with the directory's names, keep a team's tokens; the others borrow from these. One that becomes a keeper begins 3 s later; one that is none any more keeps nothing. Tokens for the next 0.4 s (0.2) are borrowed ahead.

Tests: tests/limits/teamkeepers.cpp; OneThatKeepsNoTokensOnlyBorrows, ANewKeeperBeginsWhenTheOneBeforeHasNoticed. The other tests of TeamBuckets are as they were, with setPart(1/n) for setInstances(n).

--- a/src/limits/teambuckets.cpp
+++ b/src/limits/teambuckets.cpp
@@ -13,10 +13,12 @@
     constexpr double firstLevel = 1;
     // The other half of the slack covers instances that begin anew after they spent theirs.
     constexpr double depthPartOfSlack = 0.5;
+    // Longer than an instance may be behind in what it knows of the others.
+    constexpr Milliseconds keeperDelay { 3'000 };
     // Tokens beyond the own capacity that may be kept for requests to come.
     constexpr double mostStock = 3;
     // What this instance uses itself within this time is not lent.
-    constexpr double keptSeconds = 0.2;
+    constexpr double keptSeconds = 0.4;
     constexpr Milliseconds usageInterval { 500 };
     constexpr double usageWeight = 0.5;
 
@@ -36,16 +38,27 @@
             bucket = buckets_.erase(bucket);
             continue;
         }
-        bucket->second.level = std::min(bucket->second.level, capacity(rate->second) + mostStock);
+        bucket->second.level
+            = std::min(bucket->second.level, capacity(bucket->second, rate->second) + mostStock);
         ++bucket;
     }
     for (const auto& [team, rate] : rates_)
         filled(team, now);
 }
 
-void TeamBuckets::setInstances(size_t instances)
+void TeamBuckets::setPart(const std::string& team, double part, TimePoint now)
 {
-    instances_ = static_cast<double>(std::max<size_t>(1, instances));
+    if (!isLimited(team))
+        return;
+    Bucket& bucket = filled(team, now);
+    if (bucket.hasPart && bucket.part == part)
+        return;
+    if (part <= 0)
+        bucket.level = 0;
+    else if (bucket.hasPart && bucket.part <= 0)
+        bucket.filledAt = now + keeperDelay;
+    bucket.part = part;
+    bucket.hasPart = true;
 }
 
 const TeamRate* TeamBuckets::rate(const std::string& team) const
@@ -54,15 +67,27 @@
     return found == rates_.end() ? nullptr : &found->second;
 }
 
+std::vector<std::string> TeamBuckets::limitedTeams() const
+{
+    std::vector<std::string> teams;
+    for (const auto& [team, rate] : rates_) {
+        if (rate.perSecond > 0)
+            teams.push_back(team);
+    }
+    return teams;
+}
+
 bool TeamBuckets::isLimited(const std::string& team) const
 {
     const TeamRate* known = rate(team);
     return known && known->perSecond > 0;
 }
 
-double TeamBuckets::capacity(const TeamRate& rate) const
+double TeamBuckets::capacity(const Bucket& bucket, const TeamRate& rate) const
 {
-    return std::max(1.0, (static_cast<double>(rate.burst) + slack_ * depthPartOfSlack) / instances_);
+    if (bucket.part <= 0)
+        return 0;
+    return std::max(1.0, (static_cast<double>(rate.burst) + slack_ * depthPartOfSlack) * bucket.part);
 }
 
 TeamBuckets::Bucket& TeamBuckets::filled(const std::string& team, TimePoint now)
@@ -75,9 +100,9 @@
         bucket.filledAt = bucket.usedSince = now;
     }
     const double gained
-        = secondsBetween(bucket.filledAt, now) * static_cast<double>(rate.perSecond) / instances_;
+        = secondsBetween(bucket.filledAt, now) * static_cast<double>(rate.perSecond) * bucket.part;
     // Borrowed stock above the own capacity is kept, but does not grow.
-    bucket.level = std::max(bucket.level, std::min(capacity(rate), bucket.level + gained));
+    bucket.level = std::max(bucket.level, std::min(capacity(bucket, rate), bucket.level + gained));
     bucket.filledAt = std::max(bucket.filledAt, now);
     if (now - bucket.usedSince >= usageInterval) {
         const double recent = static_cast<double>(bucket.usedLately) / secondsBetween(bucket.usedSince, now);
@@ -117,7 +142,7 @@
     if (!isLimited(team))
         return;
     Bucket& bucket = filled(team, now);
-    const double most = capacity(rates_.at(team)) + mostStock;
+    const double most = capacity(bucket, rates_.at(team)) + mostStock;
     bucket.level = std::max(bucket.level, std::min(most, bucket.level + static_cast<double>(tokens)));
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -285,7 +285,7 @@
     const auto instances = static_cast<int64_t>(directory_.instances().size());
     store_.setWatchInterval(fleetKind,
         std::min(longestFleetWatchInterval, Milliseconds(instances * 1'000 / fleetWatchesPerSecond)));
-    limits_->setInstances(directory_.instances().size());
+    limits_->onDirectoryChange();
     if (keys_)
         keys_->onDirectoryChange();
     ingress_->onDirectoryChange();
--- a/src/sidecar/teamlimits.cpp
+++ b/src/sidecar/teamlimits.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/teamlimits.h"
 
 #include "base/logger.h"
+#include "limits/teamkeepers.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,6 +15,9 @@
     // An instance that did not answer by then is passed over.
     constexpr Milliseconds answerPatience { 40 };
     constexpr Milliseconds timerInterval { 20 };
+    // Instances that keep a team's tokens: in a large fleet each would have too little to lend, and nobody
+    // would know who has any.
+    constexpr size_t mostKeepers = 8;
     // Instances asked at the same time.
     constexpr size_t mostAsked = 2;
     // After all instances said that they have none, nobody is asked for so long.
@@ -51,6 +55,32 @@
                     { "before", before->perSecond } });
     }
     buckets_.setRates(std::move(rates), BootClock::now());
+    assignKeepers();
+}
+
+void TeamLimits::onDirectoryChange()
+{
+    std::vector<std::string> instances;
+    for (const auto& [name, entry] : directory_.instances())
+        instances.push_back(name);
+    if (instances == instances_)
+        return;
+    instances_ = std::move(instances);
+    assignKeepers();
+}
+
+void TeamLimits::assignKeepers()
+{
+    if (!directory_.isLoaded())
+        return;
+    const TimePoint now = BootClock::now();
+    for (const std::string& name : buckets_.limitedTeams()) {
+        Team& team = teams_[name];
+        team.keepers = teamKeepers(name, instances_, mostKeepers);
+        const bool isKeeper
+            = std::find(team.keepers.begin(), team.keepers.end(), self_) != team.keepers.end();
+        buckets_.setPart(name, isKeeper ? 1.0 / static_cast<double>(team.keepers.size()) : 0, now);
+    }
 }
 
 void TeamLimits::charge(const std::string& team, const Done& done)
@@ -110,12 +140,13 @@
 {
     const double fleetRefill
         = static_cast<double>(std::max<int64_t>(1, buckets_.refillTime(name, 1).count()));
-    const double perSecond = millisecondsPerSecond / fleetRefill
-        / static_cast<double>(std::max<size_t>(1, directory_.instances().size()));
+    const double perSecond
+        = millisecondsPerSecond / fleetRefill / static_cast<double>(std::max<size_t>(1, team.keepers.size()));
     std::string richest;
     double most = 1;
-    for (const auto& [instance, entry] : directory_.instances()) {
-        if (instance == self_ || entry.value.departing || team.asked.count(instance) > 0)
+    for (const std::string& instance : team.keepers) {
+        const stored::InstanceEntry* entry = directory_.instance(instance);
+        if (instance == self_ || !entry || entry->departing || team.asked.count(instance) > 0)
             continue;
         const auto known = team.lenders.find(instance);
         double level = assumedLevel;
--- a/src/sidecar/teamlimits.h
+++ b/src/sidecar/teamlimits.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace persimmonfield {
 
@@ -31,7 +32,8 @@
         PeerNetwork& network, Counters& counters);
 
     void setConfiguration(const Configuration& configuration);
-    void setInstances(size_t instances) { buckets_.setInstances(instances); }
+    // Instances have come or gone.
+    void onDirectoryChange();
     // Requests by which the fleet may exceed a team's burst.
     void setSlack(int64_t requests) { buckets_.setSlack(requests); }
 
@@ -56,6 +58,7 @@
         TimePoint until;
     };
     struct Team {
+        std::vector<std::string> keepers; // Instances that have its tokens.
         std::deque<Waiter> waiting;
         std::map<std::string, Lender> lenders; // By instance.
         std::map<std::string, Asked> asked; // Instances that have not answered yet.
@@ -63,6 +66,7 @@
         TimePoint dryUntil; // No instance had any token: nobody is asked before.
     };
 
+    void assignKeepers();
     void borrow(const std::string& name, Team& team, TimePoint now);
     std::string richestLender(const std::string& name, const Team& team, TimePoint now) const;
     void serveWaiting(const std::string& name, Team& team, TimePoint now);
@@ -77,6 +81,7 @@
     Counters& counters_;
     TeamBuckets buckets_;
     std::map<std::string, Team> teams_;
+    std::vector<std::string> instances_; // By which keepers were assigned.
     asio::steady_timer timer_;
     bool isTimerArmed_ = false;
 };
--- a/tests/limits/teambuckets.cpp
+++ b/tests/limits/teambuckets.cpp
@@ -22,7 +22,7 @@
 {
     TeamBuckets buckets;
     buckets.setRates({ { team, rate } }, start);
-    buckets.setInstances(instances);
+    buckets.setPart(team, 1.0 / static_cast<double>(instances), start);
     return buckets;
 }
 
@@ -154,3 +154,32 @@
     LONGS_EQUAL(1, buckets.lend(team, 1, now));
     LONGS_EQUAL(0, buckets.lend(team, 1, now));
 }
+
+TEST(TeamBuckets, OneThatKeepsNoTokensOnlyBorrows)
+{
+    TeamBuckets keeper = bucketsFor({ 100, 100 }, 1);
+    TeamBuckets other;
+    other.setRates({ { team, { 100, 100 } } }, start);
+    other.setPart(team, 0, start);
+    const TimePoint later = start + std::chrono::seconds(1);
+    CHECK(!other.trySpend(team, later));
+    other.add(team, keeper.lend(team, 2, later), later);
+    CHECK(other.trySpend(team, later));
+    CHECK(other.trySpend(team, later));
+    CHECK(!other.trySpend(team, later + std::chrono::seconds(10)));
+}
+
+// While two instances both believe to keep the same part, the fleet would admit too much.
+TEST(TeamBuckets, ANewKeeperBeginsWhenTheOneBeforeHasNoticed)
+{
+    TeamBuckets former = bucketsFor({ 100, 100 }, 1);
+    TeamBuckets next;
+    next.setRates({ { team, { 100, 100 } } }, start);
+    next.setPart(team, 0, start);
+    const TimePoint change = start + std::chrono::seconds(5);
+    next.setPart(team, 1, change);
+    CHECK(!next.trySpend(team, change + Milliseconds(2'900)));
+    CHECK(next.trySpend(team, change + Milliseconds(3'100)));
+    former.setPart(team, 0, change + Milliseconds(2'000));
+    CHECK(!former.trySpend(team, change + Milliseconds(2'000)));
+}
