Routing: servers are chosen by the usual work that they tell, among three

Cause: an entrance of 71 sends each server of a service a request every two seconds, and what it saw itself counts half after 500 ms. It knew nothing of a third of the servers, which take 2.3 times as long; the better of two was nearly a random one, and slow servers answered late.

Change: gates tell how long requests of the route usually take there (usualWorkMs); the entrance compares it over routes and remembers it. The best of three candidates, one of them near, is chosen (two before).

Test: WhatAServerSaysOfItsUsualWorkIsRemembered.

--- a/src/routing/serverchoice.cpp
+++ b/src/routing/serverchoice.cpp
@@ -21,6 +21,8 @@
     constexpr Duration leastOutlierLatency = Milliseconds(2);
     // How long a server's word on its load is of use.
     constexpr Milliseconds loadFreshFor { 600 };
+    // Beside a near one. Where a third of the servers is slow, hardly ever all of them are.
+    constexpr int othersCompared = 2;
     // How much more a server with all slots taken costs than an idle one.
     constexpr double fullServerCost = 3;
     constexpr int usualWeight = 32;
@@ -59,9 +61,13 @@
     if (pool.empty())
         return std::nullopt;
     const std::vector<InstanceId> near = nearest(pool);
-    const InstanceId& first = near[random_() % near.size()];
-    const InstanceId& second = pool[random_() % pool.size()];
-    return cost(first, now) <= cost(second, now) ? first : second;
+    InstanceId best = near[random_() % near.size()];
+    for (int i = 0; i < othersCompared; ++i) {
+        const InstanceId& other = pool[random_() % pool.size()];
+        if (cost(other, now) < cost(best, now))
+            best = other;
+    }
+    return best;
 }
 
 std::vector<InstanceId> ServerChoice::nearest(const std::vector<InstanceId>& pool)
@@ -79,7 +85,7 @@
 {
     const Observed& observed = observed_[server];
     const Duration latency = decayed(observed.peakLatency, now - observed.lastSample);
-    const auto base = static_cast<double>(latency.count() + 1);
+    const auto base = static_cast<double>((latency + observed.load.usualWork).count() + 1);
     return base * (observed.inFlight + 1) * loadFactor(observed, now) * observed.distance;
 }
 
@@ -96,7 +102,10 @@
 void ServerChoice::noteLoad(const InstanceId& server, const Load& load, TimePoint now)
 {
     Observed& observed = observed_[server];
+    const Duration knownWork = observed.load.usualWork;
     observed.load = load;
+    if (load.usualWork == Duration::zero())
+        observed.load.usualWork = knownWork;
     observed.loadAt = now;
     observed.begunSinceLoad = 0;
 }
--- a/src/routing/serverchoice.h
+++ b/src/routing/serverchoice.h
@@ -12,7 +12,8 @@
 namespace persimmonfield {
 
 // Chooses among the servers of one service that is not divided by key by what this entrance sees itself,
-// since load reports lag: the better of two random ones by requests in flight and recent latency. A server
+// since load reports lag: the best of some random ones by requests in flight, recent latency and what the
+// server says of itself. A server
 // that fails or lags far behind the others is left out, for longer each time; copies of idempotent requests,
 // which delay nobody, probe whether it has recovered. Pure; not thread-safe.
 class ServerChoice {
@@ -33,6 +34,7 @@
         int busy = 0;
         int slots = 1;
         double pace = 1;
+        Duration usualWork { 0 }; // As in `succeeded`; zero when not known.
     };
     void noteLoad(const InstanceId& server, const Load& load, TimePoint now);
 
@@ -61,7 +63,7 @@
         int failuresInRow = 0;
         int slowInRow = 0; // Samples as an outlier since the last good one.
         TimePoint leftOutUntil;
-        Load load;
+        Load load; // Its usual work holds until another is told, the rest for a moment.
         TimePoint loadAt;
         int begunSinceLoad = 0; // Requests sent since the load was told.
         double distance = 1;
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -36,10 +36,10 @@
     constexpr double otherZoneCost = 1.5;
     constexpr double wholePercent = 100;
 
-    ServerChoice::Load loadOf(const peer::ServerLoad& load)
+    ServerChoice::Load loadOf(const peer::ServerLoad& load, Duration usualWork)
     {
         return { static_cast<int>(load.running + load.waiting), static_cast<int>(load.slots),
-            static_cast<double>(load.pacePercent) / wholePercent };
+            static_cast<double>(load.pacePercent) / wholePercent, usualWork };
     }
 
     Milliseconds toMilliseconds(Duration duration)
@@ -345,23 +345,26 @@
     if (passage.routed.partition >= 0)
         return;
     ServerChoice& choice = choiceOf(passage.routed.service);
-    if (reply.load && reply.load->slots > 0)
-        choice.noteLoad(target.server, loadOf(*reply.load), now);
+    if (reply.load && reply.load->slots > 0) {
+        const Milliseconds work(reply.load->usualWorkMs);
+        const Duration compared
+            = work > Milliseconds(0) ? asUsual(usualWork_[passage.routed.routeName], work) : Duration::zero();
+        choice.noteLoad(target.server, loadOf(*reply.load, compared), now);
+    }
     if (reply.isAnswer)
-        choice.succeeded(target.server, asUsual(passage.routed.routeName, latency), now);
+        choice.succeeded(target.server, asUsual(usualLatency_[passage.routed.routeName], latency), now);
     else if (reply.isNotRun() && reply.reason == RefusalReason::QueueFull)
         choice.abandoned(target.server, Duration::zero(), now);
     else
         choice.failed(target.server, now);
 }
 
-// The latency as it would be if all routes took the same time, so that servers can be compared by it.
-Duration Ingress::asUsual(const std::string& route, Duration latency)
+// The time as it would be if all routes took the same, so that servers can be compared by it.
+Duration Ingress::asUsual(Duration& usual, Duration sample)
 {
-    Duration& usual = usualLatency_[route];
-    usual = usual == Duration::zero() ? latency : usual + (latency - usual) / usualLatencyWeight;
+    usual = usual == Duration::zero() ? sample : usual + (sample - usual) / usualLatencyWeight;
     const double ratio
-        = static_cast<double>(latency.count()) / static_cast<double>(std::max<int64_t>(1, usual.count()));
+        = static_cast<double>(sample.count()) / static_cast<double>(std::max<int64_t>(1, usual.count()));
     return Duration(static_cast<int64_t>(ratio * static_cast<double>(comparedLatency.count())));
 }
 
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -88,7 +88,7 @@
     void send(const PassagePtr& passage, const Target& target);
     void replied(const PassagePtr& passage, const Target& target, TimePoint sentAt, Reply reply);
     void noteReply(const Passage& passage, const Target& target, Duration latency, const Reply& reply);
-    Duration asUsual(const std::string& route, Duration latency);
+    static Duration asUsual(Duration& usual, Duration sample);
     bool mayTryAgain(const Passage& passage, const Reply& reply);
     void waitOrRefuse(const PassagePtr& passage, Reply reply);
     void timedOut(const PassagePtr& passage);
@@ -109,6 +109,7 @@
     // Owners that gates told, of a newer key table than the directory's. By service.
     std::map<std::string, std::vector<peer::KeyOwner>> newerOwners_;
     std::map<std::string, Duration> usualLatency_; // By route.
+    std::map<std::string, Duration> usualWork_; // Of servers, by route.
     std::list<PassagePtr> open_;
 };
 
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -336,6 +336,7 @@
     if (!call.reply)
         return;
     reply.load = load(BootClock::now());
+    reply.load->usualWorkMs = toMilliseconds(expectedWork(call.request.route)).count();
     call.reply(std::move(reply));
 }
 
--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -241,3 +241,31 @@
         elsewhere += *choice.choose(servers, {}, now) == near ? 0 : 1;
     CHECK(elsewhere > 50);
 }
+
+// An entrance of many sends each server a request only now and then: what it saw itself is long out of date.
+TEST(ServerChoice, WhatAServerSaysOfItsUsualWorkIsRemembered)
+{
+    std::mt19937_64 random(5);
+    ServerChoice choice([&random] { return random(); });
+    std::vector<InstanceId> servers;
+    const TimePoint start { std::chrono::hours(1) };
+    for (int i = 0; i < 12; ++i) {
+        servers.push_back({ "s" + std::to_string(i), "1" });
+        const bool isSlow = i % 3 == 0;
+        choice.noteLoad(servers.back(), { 0, 8, 1, Milliseconds(isSlow ? 160 : 70) }, start);
+    }
+    const TimePoint later = start + std::chrono::seconds(30);
+    int slow = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        const auto chosen = choice.choose(servers, {}, later);
+        slow += std::stoi(chosen->name.substr(1)) % 3 == 0 ? 1 : 0;
+    }
+    // A third of the servers; a choice that does not know them takes them for a third of the requests.
+    CHECK(slow < 80);
+    // A reply that does not say it changes nothing.
+    choice.noteLoad(servers[0], { 0, 8, 1, Duration::zero() }, later);
+    int again = 0;
+    for (int i = 0; i < 200; ++i)
+        again += choice.choose({ servers[0], servers[1] }, {}, later)->name == "s0" ? 1 : 0;
+    CHECK(again < 60);
+}
