--- a/src/sidecar/fleetdirectory.cpp
+++ b/src/sidecar/fleetdirectory.cpp
@@ -94,6 +94,19 @@
     return found == tables_.end() ? nullptr : &found->second;
 }
 
+int64_t FleetDirectory::keyTableRevision(const std::string& service) const
+{
+    const auto* table = keyTable(service);
+    return table ? table->revision : 0;
+}
+
+const std::vector<stored::KeyRange>& FleetDirectory::keyRanges(const std::string& service) const
+{
+    static const std::vector<stored::KeyRange> none;
+    const auto* table = keyTable(service);
+    return table ? table->value.ranges : none;
+}
+
 std::optional<peer::KeyOwner> FleetDirectory::otherOwner(
     const std::string& service, int key, const std::string& self) const
 {
--- a/src/sidecar/fleetdirectory.h
+++ b/src/sidecar/fleetdirectory.h
@@ -36,6 +36,9 @@
     const Instances& instances() const { return instances_; }
     const stored::InstanceEntry* instance(const std::string& name) const;
     const Versioned<stored::KeyTable>* keyTable(const std::string& service) const;
+    // 0, and no ranges, where the service has no table.
+    int64_t keyTableRevision(const std::string& service) const;
+    const std::vector<stored::KeyRange>& keyRanges(const std::string& service) const;
 
     // The owner of a key by the key table, unless it is the instance itself.
     std::optional<peer::KeyOwner> otherOwner(
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -26,6 +26,8 @@
     constexpr int64_t callPriority = -1;
     // Gates that may turn one request away before it is refused.
     constexpr int mostGates = 4;
+    // Owners that gates told and that are remembered, of one service; older ones are dropped.
+    constexpr size_t mostNewerOwners = 64;
     // The part of the fleet's reserve of retries that all instances together may use.
     constexpr double reservePart = 0.6;
 
@@ -202,7 +204,7 @@
 std::optional<Ingress::Target> Ingress::ownerOf(const Passage& passage)
 {
     const auto* table = options_.directory->keyTable(passage.routed.service);
-    if (const auto* newer = newerOwner(passage, table ? table->revision : 0))
+    if (const auto* newer = newerOwner(passage))
         return targetOf(newer->instance, newer->server);
     const stored::KeyRange* range
         = table ? findRange(table->value, static_cast<int>(passage.routed.partition)) : nullptr;
@@ -221,12 +223,13 @@
     return Target { { instance, server }, entry->peerAddress };
 }
 
-// What a gate told of the key, if that was of a newer table than the directory's of that revision.
-const peer::KeyOwner* Ingress::newerOwner(const Passage& passage, int64_t revision)
+// What a gate told of the key, if that was of a newer table than the directory's.
+const peer::KeyOwner* Ingress::newerOwner(const Passage& passage)
 {
     const auto known = newerOwners_.find(passage.routed.service);
     if (known == newerOwners_.end())
         return nullptr;
+    const int64_t revision = options_.directory->keyTableRevision(passage.routed.service);
     auto& owners = known->second;
     owners.erase(std::remove_if(owners.begin(), owners.end(),
                      [revision](const peer::KeyOwner& owner) { return owner.revision <= revision; }),
@@ -242,12 +245,14 @@
 {
     if (!reply.owner)
         return false;
-    const auto* table = options_.directory->keyTable(passage.routed.service);
-    const peer::KeyOwner* newer = newerOwner(passage, table ? table->revision : 0);
-    const int64_t known = newer ? newer->revision : table ? table->revision : 0;
-    if (reply.owner->revision <= known)
+    const std::string& service = passage.routed.service;
+    const peer::KeyOwner* newer = newerOwner(passage);
+    if (reply.owner->revision <= (newer ? newer->revision : options_.directory->keyTableRevision(service)))
         return false;
-    newerOwners_[passage.routed.service].push_back(*reply.owner);
+    auto& owners = newerOwners_[service];
+    owners.push_back(*reply.owner);
+    if (owners.size() > mostNewerOwners)
+        owners.erase(owners.begin());
     return true;
 }
 
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -80,7 +80,7 @@
     void attempt(const PassagePtr& passage);
     std::optional<Target> chooseTarget(const Passage& passage);
     std::optional<Target> ownerOf(const Passage& passage);
-    const peer::KeyOwner* newerOwner(const Passage& passage, int64_t revision);
+    const peer::KeyOwner* newerOwner(const Passage& passage);
     std::optional<Target> targetOf(const std::string& instance, const std::string& server) const;
     bool noteOwner(const Passage& passage, const Reply& reply);
     const Candidates& candidatesOf(const std::string& service);
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -73,9 +73,8 @@
 void KeyDuty::step()
 {
     const TimePoint now = BootClock::now();
-    if (options_.serverLife()) {
+    if (options_.serverLife())
         leases_.step(now);
-    }
     updateTable();
     scheduleStep();
 }
@@ -106,10 +105,7 @@
 // Whether another instance is about to let a range go that the own server is to have.
 bool KeyDuty::isAwaitingRange() const
 {
-    const auto* known = options_.directory->keyTable(options_.settings.service);
-    if (!known)
-        return false;
-    const auto& ranges = known->value.ranges;
+    const auto& ranges = options_.directory->keyRanges(options_.settings.service);
     return std::any_of(ranges.begin(), ranges.end(), [this](const stored::KeyRange& range) {
         return isOwned(range) && range.target == options_.settings.name
             && range.instance != options_.settings.name;
@@ -118,10 +114,7 @@
 
 size_t KeyDuty::ownRangeCount() const
 {
-    const auto* known = options_.directory->keyTable(options_.settings.service);
-    if (!known)
-        return 0;
-    const auto& ranges = known->value.ranges;
+    const auto& ranges = options_.directory->keyRanges(options_.settings.service);
     return static_cast<size_t>(
         std::count_if(ranges.begin(), ranges.end(), [this](const stored::KeyRange& range) {
             return isOwned(range) && range.instance == options_.settings.name;
@@ -355,10 +348,8 @@
         });
         return;
     }
-    const auto* known = options_.directory->keyTable(options_.settings.service);
-    const int64_t revision = known ? known->revision : 0;
     if (const auto table = dueTable(now))
-        writeTable(*table, revision, false);
+        writeTable(*table, options_.directory->keyTableRevision(options_.settings.service), false);
 }
 
 void KeyDuty::writeTable(const stored::KeyTable& table, int64_t expectedRevision, bool isConfirmation)
--- a/src/sidecar/keyleaseduty.cpp
+++ b/src/sidecar/keyleaseduty.cpp
@@ -12,6 +12,7 @@
     // Instances that live are back within about two seconds of the store's return; leases are not ended
     // earlier.
     constexpr Milliseconds returnTime { 2'500 };
+
     // Nothing when another writer has spoiled the object.
     std::optional<stored::KeyLease> readLease(const StoreObject& object)
     {
