--- a/src/limits/teamkeepers.cpp
+++ b/src/limits/teamkeepers.cpp
@@ -2,6 +2,8 @@
 
 #include "base/hashing.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <utility>
@@ -15,7 +17,7 @@
     std::vector<std::pair<uint64_t, std::string>> ranked;
     ranked.reserve(instances.size());
     for (const std::string& instance : instances)
-        ranked.emplace_back(stableHash(team + '/' + instance), instance);
+        ranked.emplace_back(stableHash(absl::StrCat(team, "/", instance)), instance);
     const size_t count = std::min(most, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
         [](const auto& left, const auto& right) { return left > right; });
