Log: calls tell for how long their zone has been out, and a first listing of zones is told

The logs could not tell an instance that knew of no zone from one that had learned nothing yet, nor a call that was made while its gate knew of the evacuation. server-call lines now have zoneOutMs and the key, zones-out lines come with the first listing as well, and zone_out_requests_total counts what was given to a server of a zone that is out.

--- a/src/sidecar/configurationkeeper.cpp
+++ b/src/sidecar/configurationkeeper.cpp
@@ -43,11 +43,15 @@
         else
             zones.insert(object.name);
     }
-    if (zones == zonesOut_)
-        return false;
+    const bool isFirst = isWhole && !std::exchange(areZonesKnown_, true);
+    const bool hasChanged = zones != zonesOut_;
     zonesOut_ = std::move(zones);
-    log(LogLevel::Info, "zones-out", { { "zones", zonesOut_ }, { "revision", page.revision } });
-    return true;
+    if (!isFirst && !hasChanged)
+        return false;
+    log(LogLevel::Info, "zones-out",
+        { { "zones", zonesOut_ }, { "revision", page.revision },
+            { "learnedBy", isWhole ? "listing" : "event" } });
+    return hasChanged;
 }
 
 }
--- a/src/sidecar/configurationkeeper.h
+++ b/src/sidecar/configurationkeeper.h
@@ -28,6 +28,7 @@
 private:
     const Edges& edges_;
     std::optional<VersionedConfiguration> current_;
+    bool areZonesKnown_ = false;
     std::set<std::string> zonesOut_;
 };
 
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -63,6 +63,14 @@
     startWaiting();
 }
 
+void ServerGate::setZoneOut(bool isOut)
+{
+    if (!isOut)
+        zoneOutSince_.reset();
+    else if (!zoneOutSince_)
+        zoneOutSince_ = BootClock::now();
+}
+
 peer::ServerLoad ServerGate::load(TimePoint now) const
 {
     peer::ServerLoad load = reportedLoad_;
@@ -87,7 +95,7 @@
         && now < *server_->leavingSince + options_.settings.drainTime - leaveMargin;
     if (server_->leavingSince && !mayFinishLeaving)
         return notRun(RefusalReason::ServerDraining, "the server is leaving");
-    if (isZoneOut_ && !isKeyed)
+    if (zoneOutSince_ && !isKeyed)
         return notRun(RefusalReason::ServerDraining, "the availability zone is taken out");
     if (!isKeyed || options_.mayRunKey(static_cast<int>(call.request.partition), now))
         return std::nullopt;
@@ -255,6 +263,10 @@
     running.call = std::move(call);
     running.began = now;
     running.expected = expectedWork(running.call.request.route);
+    if (zoneOutSince_) {
+        running.zoneOutFor = now - *zoneOutSince_;
+        options_.counters->counter("zone_out_requests_total")++;
+    }
     running.httpCall = client_.call(
         std::move(request), left, [this, id](CallResult result) { ended(id, std::move(result)); });
     running_.emplace(id, std::move(running));
@@ -276,14 +288,22 @@
     Reply reply = replyOf(std::move(result));
     if (reply.isAnswer)
         noteWork(running.call.request.route, work);
+    logCall(running, work, reply);
+    answer(running.call, std::move(reply));
+    startWaiting();
+}
+
+void ServerGate::logCall(const Running& running, Duration work, const Reply& reply) const
+{
+    nlohmann::json zoneOutMs;
+    if (running.zoneOutFor)
+        zoneOutMs = toMilliseconds(*running.zoneOutFor).count();
     log(LogLevel::Info, "server-call",
         { { "request", running.call.request.requestId }, { "server", server_ ? server_->life.id : "" },
-            { "workMs", toMilliseconds(work).count() }, { "running", running_.size() },
-            { "waiting", waiting_.size() }, { "status", reply.status },
+            { "key", running.call.request.partition }, { "workMs", toMilliseconds(work).count() },
+            { "running", running_.size() }, { "waiting", waiting_.size() }, { "status", reply.status },
             { "outcome", reply.isAnswer ? "answered" : std::string(refusalToken(reply.reason)) },
-            { "cause", reply.detail } });
-    answer(running.call, std::move(reply));
-    startWaiting();
+            { "cause", reply.detail }, { "zoneOutMs", zoneOutMs } });
 }
 
 Reply ServerGate::replyOf(CallResult result)
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -69,7 +69,7 @@
 
     // Nothing when there is no server, or none that is known to live.
     void setServer(std::optional<GatedServer> server);
-    void setZoneOut(bool isOut) { isZoneOut_ = isOut; }
+    void setZoneOut(bool isOut);
     // Requests a second that the server bears while cold; 0 for any number.
     void setColdRate(double perSecond) { coldRate_ = perSecond; }
 
@@ -97,6 +97,7 @@
         HttpClient::CallId httpCall = 0;
         TimePoint began;
         Duration expected { 0 };
+        std::optional<Duration> zoneOutFor; // When it began; nothing where the zone was in use.
     };
 
     std::optional<Reply> refusal(const GateCall& call, TimePoint now) const;
@@ -108,6 +109,7 @@
     Duration untilColdRoom(TimePoint now);
     void start(CallId id, GateCall call, TimePoint now);
     void ended(CallId id, CallResult result);
+    void logCall(const Running& running, Duration work, const Reply& reply) const;
     Reply replyOf(CallResult result);
     Rank rankOf(CallId id, const GateCall& call, TimePoint now) const;
     void noteWork(const std::string& route, Duration work);
@@ -121,7 +123,7 @@
     HttpClient client_;
     asio::steady_timer timer_;
     std::optional<GatedServer> server_;
-    bool isZoneOut_ = false;
+    std::optional<TimePoint> zoneOutSince_; // By what this instance was told.
     double coldRate_ = 0;
     TimePoint unreachableUntil_;
     CallId nextId_ = 1;
