Gate: a zone that is taken out gets nothing half of the bound after that was heard

What callers saw: nothing; the operator's zone went on getting keyed requests for as long as nobody could take its keys.

Cause: only requests without a key were stopped by the evacuation itself. Keyed ones stopped when their keys had moved, which takes a member that takes keys, an owner that hears of it, a server that lets go and a conditional write; nothing bounds that chain. With the keyed service's servers of the other zones crashed there is no such member.

KeyedRequestsStopWithinTheBoundOfAnEmptiedZoneThoughNobodyTakesItsKeys fails on the code before: status 200 4,999 ms after the evacuation.

Change: ZonesOut, pure, says by the time since it was heard what may be sent to a zone; entrance and gate both ask it. Half of the bound is left to hear of the evacuation, the other half lets keys move while they are served.

--- a/src/sidecar/configurationkeeper.cpp
+++ b/src/sidecar/configurationkeeper.cpp
@@ -34,24 +34,4 @@
     return hasChanged;
 }
 
-bool ConfigurationKeeper::takeZones(const StorePage& page, bool isWhole)
-{
-    std::set<std::string> zones = isWhole ? std::set<std::string>() : zonesOut_;
-    for (const StoreObject& object : page.objects) {
-        if (object.isDeleted)
-            zones.erase(object.name);
-        else
-            zones.insert(object.name);
-    }
-    const bool isFirst = isWhole && !std::exchange(areZonesKnown_, true);
-    const bool hasChanged = zones != zonesOut_;
-    zonesOut_ = std::move(zones);
-    if (!isFirst && !hasChanged)
-        return false;
-    log(LogLevel::Info, "zones-out",
-        { { "zones", zonesOut_ }, { "revision", page.revision },
-            { "learnedBy", isWhole ? "listing" : "event" } });
-    return hasChanged;
-}
-
 }
--- a/src/sidecar/fleetdirectory.cpp
+++ b/src/sidecar/fleetdirectory.cpp
@@ -123,8 +123,7 @@
     return owner;
 }
 
-std::vector<KeyMember> FleetDirectory::keyMembers(
-    const std::string& service, const std::set<std::string>& zonesOut) const
+std::vector<KeyMember> FleetDirectory::keyMembers(const std::string& service, const ZonesOut& zones) const
 {
     std::vector<KeyMember> members;
     for (const auto& [name, entry] : instances_) {
@@ -136,7 +135,7 @@
         member.server = { instance.server->id, instance.server->startedMs };
         member.slots = static_cast<int>(instance.server->slots);
         member.isLeaving = instance.server->readiness != stored::Readiness::Ready || instance.departing
-            || zonesOut.count(instance.zone) > 0;
+            || zones.isOut(instance.zone);
         member.takesKeys = !member.isLeaving;
         members.push_back(std::move(member));
     }
--- a/src/sidecar/fleetdirectory.h
+++ b/src/sidecar/fleetdirectory.h
@@ -2,12 +2,12 @@
 
 #include "messages/generated/stored.h"
 #include "ownership/keytable.h"
+#include "sidecar/zonesout.h"
 #include "store/storedialect.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -45,8 +45,7 @@
         const std::string& service, int key, const std::string& self) const;
 
     // The members of a service that is divided by key.
-    std::vector<KeyMember> keyMembers(
-        const std::string& service, const std::set<std::string>& zonesOut) const;
+    std::vector<KeyMember> keyMembers(const std::string& service, const ZonesOut& zones) const;
 
     bool isLoaded() const { return isLoaded_; }
 
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -215,12 +215,14 @@
 
 std::optional<Ingress::Target> Ingress::targetOf(const std::string& instance, const std::string& server) const
 {
-    if (instance == options_.settings.name)
-        return Target { { instance, server }, {} };
-    const stored::InstanceEntry* entry = options_.directory->instance(instance);
-    if (!entry)
+    const bool isLocal = instance == options_.settings.name;
+    const stored::InstanceEntry* entry = isLocal ? nullptr : options_.directory->instance(instance);
+    if (!isLocal && !entry)
         return std::nullopt;
-    return Target { { instance, server }, entry->peerAddress };
+    const std::string& zone = isLocal ? options_.settings.zone : entry->zone;
+    if (options_.zones->use(zone, BootClock::now()) == ZoneUse::Nothing)
+        return std::nullopt;
+    return Target { { instance, server }, isLocal ? std::string() : entry->peerAddress };
 }
 
 // What a gate told of the key, if that was of a newer table than the directory's.
@@ -274,7 +276,8 @@
     for (const auto& [name, entry] : options_.directory->instances()) {
         const stored::InstanceEntry& instance = entry.value;
         const bool takesWork = instance.service == service && instance.server && !instance.departing
-            && instance.server->readiness == stored::Readiness::Ready && zonesOut_.count(instance.zone) == 0;
+            && instance.server->readiness == stored::Readiness::Ready
+            && !options_.zones->isOut(instance.zone);
         if (!takesWork)
             continue;
         const bool isLocal = name == options_.settings.name;
@@ -285,12 +288,6 @@
     }
 }
 
-void Ingress::setZonesOut(std::set<std::string> zones)
-{
-    zonesOut_ = std::move(zones);
-    candidates_.clear();
-}
-
 void Ingress::send(const PassagePtr& passage, const Target& target)
 {
     const TimePoint now = BootClock::now();
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -9,6 +9,7 @@
 #include "sidecar/fleetdirectory.h"
 #include "sidecar/peercalls.h"
 #include "sidecar/servergate.h"
+#include "sidecar/zonesout.h"
 
 #include <asio/io_context.hpp>
 
@@ -17,7 +18,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +32,7 @@
     SidecarSettings settings;
     Counters* counters = nullptr;
     const FleetDirectory* directory = nullptr;
+    const ZonesOut* zones = nullptr;
     ServerGate* gate = nullptr;
     PeerCalls* peers = nullptr;
     TeamLimits* limits = nullptr;
@@ -49,7 +50,7 @@
     void setConfiguration(const std::shared_ptr<const Configuration>& configuration);
     bool hasConfiguration() const { return router_ != nullptr; }
 
-    void setZonesOut(std::set<std::string> zones);
+    void onZonesChange() { candidates_.clear(); }
 
     void handle(const std::shared_ptr<HttpExchange>& exchange);
 
@@ -100,7 +101,6 @@
 
     IngressOptions options_;
     std::shared_ptr<const Router> router_;
-    std::set<std::string> zonesOut_;
     bool isRefusing_ = false;
     std::map<std::string, ServerChoice> choices_; // By service.
     std::map<std::string, Candidates> candidates_; // By service.
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -5,6 +5,7 @@
 #include "sidecar/edges.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace persimmonfield {
@@ -247,7 +248,7 @@
     OwnServer own;
     own.instance = options_.settings.name;
     own.life = options_.serverLife();
-    own.takesKeys = options_.isServerReady() && options_.zonesOut().count(options_.settings.zone) == 0;
+    own.takesKeys = options_.isServerReady() && !options_.zones->isOut(options_.settings.zone);
     own.isAloneAtAddress = isAloneAtAddress_;
     own.hasEarlierGrantsEnded
         = own.life ? holder_.haveEarlierGrantsEnded(*own.life, now) : holder_.haveAllGrantsEnded(now);
@@ -259,7 +260,7 @@
 // The next table that this instance has to write; nothing when the present one may stay.
 std::optional<stored::KeyTable> KeyDuty::dueTable(TimePoint now)
 {
-    auto members = options_.directory->keyMembers(options_.settings.service, options_.zonesOut());
+    auto members = options_.directory->keyMembers(options_.settings.service, *options_.zones);
     const auto* known = options_.directory->keyTable(options_.settings.service);
     if (!known)
         return isPlanner(members, now) && mayMakeFirstTable(members, now)
--- a/src/sidecar/keyduty.h
+++ b/src/sidecar/keyduty.h
@@ -7,6 +7,7 @@
 #include "sidecar/keyleaseduty.h"
 #include "sidecar/loadboard.h"
 #include "sidecar/sidecarsettings.h"
+#include "sidecar/zonesout.h"
 #include "store/storesession.h"
 
 #include <asio/io_context.hpp>
@@ -15,7 +16,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace persimmonfield {
@@ -30,7 +30,7 @@
     FleetDirectory* directory = nullptr;
     std::function<std::optional<ServerLife>()> serverLife;
     std::function<bool()> isServerReady; // Neither leaving nor silent.
-    std::function<const std::set<std::string>&()> zonesOut;
+    const ZonesOut* zones = nullptr;
     std::function<double(TimePoint now)> ownBusyness; // As LoadBoard has it of others.
     const LoadBoard* loads = nullptr;
     // The key table or the leases have changed by a write of this instance.
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -63,14 +63,6 @@
     startWaiting();
 }
 
-void ServerGate::setZoneOut(bool isOut)
-{
-    if (!isOut)
-        zoneOutSince_.reset();
-    else if (!zoneOutSince_)
-        zoneOutSince_ = BootClock::now();
-}
-
 peer::ServerLoad ServerGate::load(TimePoint now) const
 {
     peer::ServerLoad load = reportedLoad_;
@@ -95,13 +87,15 @@
         && now < *server_->leavingSince + options_.settings.drainTime - leaveMargin;
     if (server_->leavingSince && !mayFinishLeaving)
         return notRun(RefusalReason::ServerDraining, "the server is leaving");
-    if (zoneOutSince_ && !isKeyed)
+    if (isKeyed && !options_.mayRunKey(static_cast<int>(call.request.partition), now)) {
+        Reply reply = notRun(RefusalReason::NotOwner, "the server does not own the key");
+        reply.owner = options_.otherOwner(static_cast<int>(call.request.partition));
+        return reply;
+    }
+    const ZoneUse use = options_.zones->use(options_.settings.zone, now);
+    if (use == ZoneUse::Nothing || (use == ZoneUse::OwnedKeys && !isKeyed))
         return notRun(RefusalReason::ServerDraining, "the availability zone is taken out");
-    if (!isKeyed || options_.mayRunKey(static_cast<int>(call.request.partition), now))
-        return std::nullopt;
-    Reply reply = notRun(RefusalReason::NotOwner, "the server does not own the key");
-    reply.owner = options_.otherOwner(static_cast<int>(call.request.partition));
-    return reply;
+    return std::nullopt;
 }
 
 Duration ServerGate::expectedWork(const std::string& route) const
@@ -263,10 +257,9 @@
     running.call = std::move(call);
     running.began = now;
     running.expected = expectedWork(running.call.request.route);
-    if (zoneOutSince_) {
-        running.zoneOutFor = now - *zoneOutSince_;
+    running.zoneOutFor = options_.zones->outFor(options_.settings.zone, now);
+    if (running.zoneOutFor)
         options_.counters->counter("zone_out_requests_total")++;
-    }
     running.httpCall = client_.call(
         std::move(request), left, [this, id](CallResult result) { ended(id, std::move(result)); });
     running_.emplace(id, std::move(running));
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -6,6 +6,7 @@
 #include "messages/reply.h"
 #include "sidecar/edges.h"
 #include "sidecar/sidecarsettings.h"
+#include "sidecar/zonesout.h"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -44,6 +45,7 @@
     const Edges* edges = nullptr;
     SidecarSettings settings;
     Counters* counters = nullptr;
+    const ZonesOut* zones = nullptr;
     // Whether the server owns the key at present.
     std::function<bool(int key, TimePoint now)> mayRunKey;
     // Another owner of the key, where one is known.
@@ -69,7 +71,6 @@
 
     // Nothing when there is no server, or none that is known to live.
     void setServer(std::optional<GatedServer> server);
-    void setZoneOut(bool isOut);
     // Requests a second that the server bears while cold; 0 for any number.
     void setColdRate(double perSecond) { coldRate_ = perSecond; }
 
@@ -97,7 +98,7 @@
         HttpClient::CallId httpCall = 0;
         TimePoint began;
         Duration expected { 0 };
-        std::optional<Duration> zoneOutFor; // When it began; nothing where the zone was in use.
+        std::optional<Duration> zoneOutFor; // When it began, as ZonesOut has it.
     };
 
     std::optional<Reply> refusal(const GateCall& call, TimePoint now) const;
@@ -123,7 +124,6 @@
     HttpClient client_;
     asio::steady_timer timer_;
     std::optional<GatedServer> server_;
-    std::optional<TimePoint> zoneOutSince_; // By what this instance was told.
     double coldRate_ = 0;
     TimePoint unreachableUntil_;
     CallId nextId_ = 1;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -56,6 +56,7 @@
     , edges_(std::move(edges))
     , incarnation_(randomHex(incarnationBytes))
     , configuration_(edges_)
+    , zones_(settings_.evacuationTime)
     , transport_(loop, settings_.storeAddress)
     , store_(loop, transport_, edges_.store)
     , callers_(loop, [this](const auto& exchange) { ingress_->handle(exchange); })
@@ -66,7 +67,7 @@
     , secretTimer_(loop)
     , random_(randomSource())
 {
-    gate_ = std::make_unique<ServerGate>(ServerGateOptions { &loop_, &edges_, settings_, &counters_,
+    gate_ = std::make_unique<ServerGate>(ServerGateOptions { &loop_, &edges_, settings_, &counters_, &zones_,
         [this](int key, TimePoint now) { return keys_ && keys_->mayRun(key, now); },
         [this](int key) { return directory_.otherOwner(settings_.service, key, settings_.name); },
         [this](int key, TimePoint now) { keys_->noteRequest(key, now); } });
@@ -97,7 +98,7 @@
     limits_ = std::make_unique<TeamLimits>(loop_, settings_.name, directory_, *network_, counters_);
     limits_->setSlack(settings_.rateSlack);
     ingress_ = std::make_unique<Ingress>(IngressOptions { &loop_, &edges_, settings_, &counters_, &directory_,
-        gate_.get(), peers_.get(), limits_.get(), &loads_ });
+        &zones_, gate_.get(), peers_.get(), limits_.get(), &loads_ });
     transport_.setReachableHandler([this](bool isReachable) {
         log(LogLevel::Info, isReachable ? "store-regained" : "store-lost", {});
         if (isReachable)
@@ -133,7 +134,7 @@
         onConfiguration();
     });
     store_.watch(edges_.zonesOutKind, [this](const StorePage& page, bool isWhole) {
-        if (!configuration_.takeZones(page, isWhole))
+        if (!zones_.take(page, isWhole, BootClock::now()))
             return;
         tellOfChange(edges_.zonesOutKind, page.revision);
         onZones();
@@ -220,8 +221,7 @@
     if (!service->second.isRangeKeyed || keys_)
         return;
     keys_ = std::make_unique<KeyDuty>(KeyDutyOptions { &loop_, settings_, incarnation_, &store_, &directory_,
-        [this] { return server_->life(); }, [this] { return server_->isReady() && !isStopping_; },
-        [this]() -> const std::set<std::string>& { return configuration_.zonesOut(); },
+        [this] { return server_->life(); }, [this] { return server_->isReady() && !isStopping_; }, &zones_,
         [this](TimePoint now) { return gate_->busyness(now); }, &loads_, [this] { onDirectoryChange(); },
         [this](const std::string& instance, int64_t revision) {
             notifyOfChange(instance, fleetKind, revision);
@@ -231,8 +231,7 @@
 
 void Sidecar::onZones()
 {
-    gate_->setZoneOut(configuration_.zonesOut().count(settings_.zone) > 0);
-    ingress_->setZonesOut(configuration_.zonesOut());
+    ingress_->onZonesChange();
     onDirectoryChange();
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -16,6 +16,7 @@
 #include "sidecar/sidecarsettings.h"
 #include "sidecar/storerelay.h"
 #include "sidecar/teamlimits.h"
+#include "sidecar/zonesout.h"
 #include "store/storesession.h"
 #include "store/storetransport.h"
 #include "transport/peernetwork.h"
@@ -79,6 +80,7 @@
     Counters counters_;
     FleetDirectory directory_;
     ConfigurationKeeper configuration_;
+    ZonesOut zones_;
     StoreTransport transport_;
     StoreSession store_;
     std::unique_ptr<PeerNetwork> network_; // Once the fleet's secret is known.
--- a/src/sidecar/sidecarsettings.h
+++ b/src/sidecar/sidecarsettings.h
@@ -23,6 +23,8 @@
     Milliseconds reportPatience { 1'000 }; // A server takes a report for lost that is not answered by then.
     // How long a leaving server may be given work after the acknowledgement.
     Milliseconds drainTime { 2'000 };
+    // How long after a zone was taken out its servers may still be given work.
+    Milliseconds evacuationTime { 5'000 };
     Milliseconds stopTime { 6'000 }; // Between the signal to stop and the end by force.
     double retryShare = 0.1; // Retries by requests, over the fleet.
     int retryReserve = 20; // Retries in a window beyond that share, over the fleet.
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -30,6 +30,7 @@
 
 [bounds]
 drain = 2000ms
+evacuation = 4s
 grace = 6s
 retryBudgetRatio = 0.2
 somethingNew = 1
@@ -61,6 +62,7 @@
     STRCMP_EQUAL("side-1", read.settings.name.c_str());
     LONGS_EQUAL(870, read.settings.reportInterval.count());
     STRCMP_EQUAL("10.1.0.26:7000", read.settings.peerAddress.text().c_str());
+    LONGS_EQUAL(4'000, read.settings.evacuationTime.count());
     LONGS_EQUAL(6'000, read.settings.stopTime.count());
 }
 
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -336,6 +336,24 @@
     }));
 }
 
+TEST(Sidecar, KeyedRequestsStopWithinTheBoundOfAnEmptiedZoneThoughNobodyTakesItsKeys)
+{
+    begin({ "gallery", "orders" });
+    store->put("evacuations", "zone-0", nlohmann::json::object());
+    const TimePoint end = BootClock::now() + SidecarSettings().evacuationTime;
+    size_t runsAtEnd = 0;
+    while (BootClock::now() < end) {
+        statusOf(1, cardRequest(1));
+        runsAtEnd = serverOf(0).runs().size();
+        runFor(Milliseconds(20));
+    }
+    for (const int entrance : { 0, 1 })
+        LONGS_EQUAL(503, statusOf(entrance, cardRequest(1)));
+    LONGS_EQUAL(runsAtEnd, serverOf(0).runs().size());
+    store->remove("evacuations", "zone-0");
+    CHECK(runUntil([this] { return statusOf(1, cardRequest(1)) == 200; }));
+}
+
 TEST(Sidecar, WhatMustRunOnceIsNotSentAgainAfterItsServerBroke)
 {
     begin({ "orders", "orders" });
