--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -142,8 +142,8 @@
     passage.id = head->requestId;
     if (isRefusing_)
         return notRun(RefusalReason::Stopping, "this instance is stopping");
-    if (!router_)
-        return notRun(RefusalReason::NoConfiguration, "no configuration is in force yet");
+    if (!router_ || !options_.zones->areKnown())
+        return notRun(RefusalReason::NoConfiguration, "the configuration is not known yet");
     RoutingResult result = router_->route({ received.method, received.target, received.headers });
     if (auto* refusal = std::get_if<Reply>(&result))
         return std::move(*refusal);
--- a/src/sidecar/keyduty.cpp
+++ b/src/sidecar/keyduty.cpp
@@ -338,7 +338,7 @@
 
 void KeyDuty::updateTable()
 {
-    if (pendingTable_ || !options_.directory->isLoaded())
+    if (pendingTable_ || !options_.directory->isLoaded() || !options_.zones->areKnown())
         return;
     const TimePoint now = BootClock::now();
     if (now < nextTableWrite_) {
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -94,7 +94,8 @@
     }
     const ZoneUse use = options_.zones->use(options_.settings.zone, now);
     if (use == ZoneUse::Nothing || (use == ZoneUse::OwnedKeys && !isKeyed))
-        return notRun(RefusalReason::ServerDraining, "the availability zone is taken out");
+        return notRun(
+            RefusalReason::ServerDraining, "the availability zone is out, or not known to be in use");
     return std::nullopt;
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -134,9 +134,11 @@
         onConfiguration();
     });
     store_.watch(edges_.zonesOutKind, [this](const StorePage& page, bool isWhole) {
+        const bool wereKnown = zones_.areKnown();
         if (!zones_.take(page, isWhole, BootClock::now()))
             return;
-        tellOfChange(edges_.zonesOutKind, page.revision);
+        if (wereKnown)
+            tellOfChange(edges_.zonesOutKind, page.revision);
         onZones();
     });
     store_.watch(fleetKind, [this](const StorePage& page, bool isWhole) { onFleet(page, isWhole); });
@@ -324,7 +326,8 @@
 
 void Sidecar::answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const
 {
-    const bool isReady = !isStopping_ && ingress_->hasConfiguration() && directory_.isLoaded();
+    const bool isReady
+        = !isStopping_ && ingress_->hasConfiguration() && directory_.isLoaded() && zones_.areKnown();
     HttpResponse response;
     response.status = isReady ? statusOk : statusUnavailable;
     exchange->respond(std::move(response));
--- a/src/sidecar/zonesout.cpp
+++ b/src/sidecar/zonesout.cpp
@@ -39,11 +39,13 @@
     log(LogLevel::Info, "zones-out",
         { { "zones", names }, { "revision", page.revision },
             { "learnedBy", isWhole ? "listing" : "event" } });
-    return hasChanged;
+    return true;
 }
 
 ZoneUse ZonesOut::use(const std::string& zone, TimePoint now) const
 {
+    if (!areKnown_)
+        return ZoneUse::Nothing;
     const auto out = since_.find(zone);
     if (out == since_.end())
         return ZoneUse::Everything;
--- a/src/sidecar/zonesout.h
+++ b/src/sidecar/zonesout.h
@@ -22,9 +22,12 @@
     // Servers of a zone must get nothing any more `bound` after it was taken out.
     explicit ZonesOut(Duration bound);
 
-    // Takes objects of the kind that names the zones; answers whether the zones have changed.
+    // Takes objects of the kind that names the zones; answers whether the zones have changed or are known for
+    // the first time.
     bool take(const StorePage& page, bool isWhole, TimePoint now);
 
+    // Until then any zone may be out.
+    bool areKnown() const { return areKnown_; }
     bool isOut(const std::string& zone) const { return since_.count(zone) > 0; }
     ZoneUse use(const std::string& zone, TimePoint now) const;
 
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -354,6 +354,24 @@
     CHECK(runUntil([this] { return statusOf(1, cardRequest(1)) == 200; }));
 }
 
+TEST(Sidecar, AnInstanceThatDoesNotKnowTheZonesYetServesNobody)
+{
+    store->withhold("evacuations");
+    store->put("evacuations", "zone-0", nlohmann::json::object());
+    begin({ "orders", "orders" });
+    HttpClient readiness { loop, { instances[0]->settings.readinessAddress, longTime, longTime, false, {} } };
+    std::optional<int> ready;
+    readiness.call({ "GET", "/readyz", {}, {} }, longTime,
+        [&ready](const CallResult& result) { ready = result.response.status; });
+    CHECK(runUntil([&ready] { return ready.has_value(); }));
+    LONGS_EQUAL(503, *ready);
+    LONGS_EQUAL(503, statusOf(0, orderRequest()));
+    LONGS_EQUAL(0, runsOfAll());
+    store->withhold({});
+    CHECK(runUntil([this] { return statusOf(0, orderRequest()) == 200; }));
+    LONGS_EQUAL(0, serverOf(0).runs().size());
+}
+
 TEST(Sidecar, WhatMustRunOnceIsNotSentAgainAfterItsServerBroke)
 {
     begin({ "orders", "orders" });
--- a/tests/sidecar/zonesout.cpp
+++ b/tests/sidecar/zonesout.cpp
@@ -44,6 +44,15 @@
     CHECK(zones.outFor("a", start + bound) == bound);
 }
 
+TEST(ZonesOut, NoZoneIsUsedBeforeTheyWereListed)
+{
+    check(ZoneUse::Nothing, Milliseconds(0));
+    zones.take(pageOf("b", 2), false, start);
+    check(ZoneUse::Nothing, Milliseconds(0));
+    CHECK(zones.take({ {}, false, 1 }, true, start));
+    check(ZoneUse::Everything, Milliseconds(0));
+}
+
 TEST(ZonesOut, HearingOfAZoneAgainDoesNotExtendItsTime)
 {
     zones.take({ {}, false, 1 }, true, start);
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -72,6 +72,13 @@
     exchange->respond(responseWith(status, body.dump()));
 }
 
+void StandInStore::withhold(const std::string& kind)
+{
+    withheldKind_ = kind;
+    for (const auto& exchange : std::exchange(withheld_, {}))
+        handle(exchange);
+}
+
 void StandInStore::handle(const std::shared_ptr<HttpExchange>& exchange)
 {
     if (delay_ <= Milliseconds(0))
@@ -87,6 +94,10 @@
     const std::string path = exchange->request().target.substr(0, exchange->request().target.find('?'));
     const std::vector<std::string> parts = absl::StrSplit(path.substr(1), '/');
     const std::string name = parts.size() > 2 ? parts[2] : std::string();
+    if (parts.at(1) == withheldKind_) {
+        withheld_.push_back(exchange);
+        return;
+    }
     if (exchange->request().method == "GET")
         list(exchange, parts.at(1));
     else
--- a/tests/standins/loopback.h
+++ b/tests/standins/loopback.h
@@ -29,6 +29,8 @@
 
     // Answers every call with 503.
     void setDown(bool isDown) { isDown_ = isDown; }
+    // Does not answer calls for the kind from now on; answers those that waited when the kind is empty.
+    void withhold(const std::string& kind);
     // Answers every call that much later.
     void setDelay(Milliseconds delay) { delay_ = delay; }
     // Watches from before now are told that their history is gone.
@@ -85,6 +87,8 @@
     int64_t staleWatchCalls_ = 0;
     int lostAnswers_ = 0;
     bool isDown_ = false;
+    std::string withheldKind_;
+    std::vector<std::shared_ptr<HttpExchange>> withheld_;
     std::vector<std::shared_ptr<HttpExchange>> lost_;
 };
 
