--- a/src/sidecar/zonesout.cpp
+++ b/src/sidecar/zonesout.cpp
@@ -21,12 +21,14 @@
 bool ZonesOut::take(const StorePage& page, bool isWhole, TimePoint now)
 {
     std::map<std::string, TimePoint> zones = isWhole ? std::map<std::string, TimePoint>() : since_;
+    // A listing does not tell for how long a zone has been out: longer than its keys may stay, it may be.
+    const TimePoint since = isWhole ? now - keysMayStayFor_ : now;
     for (const StoreObject& object : page.objects) {
         const auto known = since_.find(object.name);
         if (object.isDeleted)
             zones.erase(object.name);
         else
-            zones[object.name] = known == since_.end() ? now : known->second;
+            zones[object.name] = known == since_.end() ? since : known->second;
     }
     const bool isFirst = isWhole && !std::exchange(areKnown_, true);
     const bool hasChanged = zones != since_;
@@ -34,7 +36,7 @@
     if (!isFirst && !hasChanged)
         return false;
     std::set<std::string> names;
-    for (const auto& [zone, since] : since_)
+    for (const auto& [zone, outSince] : since_)
         names.insert(zone);
     log(LogLevel::Info, "zones-out",
         { { "zones", names }, { "revision", page.revision },
--- a/src/sidecar/zonesout.h
+++ b/src/sidecar/zonesout.h
@@ -31,13 +31,13 @@
     bool isOut(const std::string& zone) const { return since_.count(zone) > 0; }
     ZoneUse use(const std::string& zone, TimePoint now) const;
 
-    // How long the zone has been known to be out; nothing while it is in use.
+    // How long the zone has been out, as far as that is known; nothing while it is in use.
     std::optional<Duration> outFor(const std::string& zone, TimePoint now) const;
 
 private:
     Duration keysMayStayFor_;
     bool areKnown_ = false;
-    std::map<std::string, TimePoint> since_; // By zone, when it was learned that the zone is out.
+    std::map<std::string, TimePoint> since_; // By zone that is out.
 };
 
 }
--- a/tests/sidecar/zonesout.cpp
+++ b/tests/sidecar/zonesout.cpp
@@ -53,6 +53,15 @@
     check(ZoneUse::Everything, Milliseconds(0));
 }
 
+TEST(ZonesOut, AZoneThatAListingShowsMayHaveBeenOutForLong)
+{
+    zones.take(pageOf("a", 2), true, start);
+    check(ZoneUse::Nothing, Milliseconds(0));
+    zones.take({ {}, false, 3 }, true, start);
+    zones.take(pageOf("a", 4), true, start + bound);
+    check(ZoneUse::Nothing, bound);
+}
+
 TEST(ZonesOut, HearingOfAZoneAgainDoesNotExtendItsTime)
 {
     zones.take({ {}, false, 1 }, true, start);
