Store: watches that wait when the store is lost go on through another instance

Cause: a watch waits up to 25 s on one connection. When another call showed that the store was lost, only its return began the watches anew; until then they waited on a way that had gone silent, though other instances could have been asked.

Evidence: AWatchThatWaitsWhenTheStoreIsLostGoesOnThroughAnotherInstance fails on the code before (not seen in 20 s).

Change: half a second after the store was lost, unless a call succeeded meanwhile, all watches are listed anew.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -101,8 +101,7 @@
         &zones_, gate_.get(), peers_.get(), limits_.get(), &loads_ });
     transport_.setReachableHandler([this](bool isReachable) {
         log(LogLevel::Info, isReachable ? "store-regained" : "store-lost", {});
-        if (isReachable)
-            store_.renewWatches();
+        store_.onReachable(isReachable);
     });
 }
 
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -2,7 +2,6 @@
 
 #include "base/logger.h"
 
-#include <asio/steady_timer.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -29,6 +28,8 @@
     // How long a watch has to tell of a change that another instance knows of: longer than a slow store
     // takes.
     constexpr Milliseconds hurryPatience { 500 };
+    // After one call failed: the next one may show that the store was there all the while.
+    constexpr Milliseconds lostPatience { 500 };
 
     absl::Status statusOf(const CallResult& result)
     {
@@ -212,6 +213,7 @@
     , transport_(transport)
     , dialect_(std::move(dialect))
     , pauses_(pauses)
+    , lostTimer_(loop)
 {
 }
 
@@ -228,6 +230,18 @@
     watch->list();
 }
 
+void StoreSession::onReachable(bool isReachable)
+{
+    lostTimer_.cancel();
+    if (isReachable)
+        return renewWatches();
+    lostTimer_.expires_after(lostPatience);
+    lostTimer_.async_wait([this](std::error_code error) {
+        if (!error && !transport_.isReachable())
+            renewWatches();
+    });
+}
+
 void StoreSession::renewWatches()
 {
     for (const auto& [kind, watch] : watches_)
--- a/src/store/storesession.h
+++ b/src/store/storesession.h
@@ -5,6 +5,7 @@
 #include "store/storetransport.h"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -51,8 +52,9 @@
     // Keeps the handler informed of a kind from now on.
     void watch(const std::string& kind, ChangeHandler handler);
 
-    // The store answers again: watches that broke meanwhile, or may have gone silent, begin anew at once.
-    void renewWatches();
+    // The store was lost or answers again: watches that broke, or wait on a way that may have gone silent,
+    // begin anew, through another instance as long as the store is lost.
+    void onReachable(bool isReachable);
 
     // Watches of the kind begin no more often than once in that time; changes between come together, and may
     // come from a copy of the store that is seconds old.
@@ -65,6 +67,7 @@
 private:
     class KindWatch;
 
+    void renewWatches();
     void listFrom(const std::string& kind, bool mayBeStale, StorePage before, const PageDone& done);
     StoreTransport::CallId fetchEvents(
         const std::string& kind, int64_t afterRevision, bool mayBeStale, const PageDone& done);
@@ -73,6 +76,7 @@
     StoreTransport& transport_;
     StoreDialect dialect_;
     StoreRetryPauses pauses_;
+    asio::steady_timer lostTimer_;
     std::map<std::string, std::shared_ptr<KindWatch>> watches_; // By kind.
 };
 
--- a/tests/sidecar/storewatch.cpp
+++ b/tests/sidecar/storewatch.cpp
@@ -111,7 +111,7 @@
     store.setDown(false);
     store.put(kind, "first", {});
     // The next try by itself would come after an hour.
-    transport.setReachableHandler([this](bool) { session.renewWatches(); });
+    transport.setReachableHandler([this](bool isReachable) { session.onReachable(isReachable); });
     CHECK(runUntil([this] {
         session.list("others", false, [](const absl::StatusOr<StorePage>&) {});
         loop.restart();
@@ -165,10 +165,7 @@
     FaultProxy proxy(loop, proxiedStoreAddress, storeAddress);
     StoreTransport proxied { loop, proxiedStoreAddress };
     StoreSession prompt { loop, proxied, platform::platformEdges().store };
-    proxied.setReachableHandler([&prompt](bool isReachable) {
-        if (isReachable)
-            prompt.renewWatches();
-    });
+    proxied.setReachableHandler([&prompt](bool isReachable) { prompt.onReachable(isReachable); });
     prompt.watch(kind, [this](const StorePage& page, bool) {
         for (const StoreObject& object : page.objects)
             seen.insert(object.name);
@@ -185,6 +182,28 @@
     CHECK(sees("first"));
 }
 
+TEST(StoreWatch, AWatchThatWaitsWhenTheStoreIsLostGoesOnThroughAnotherInstance)
+{
+    FaultProxy proxy(loop, proxiedStoreAddress, storeAddress);
+    StoreTransport proxied { loop, proxiedStoreAddress };
+    proxied.setRelay([this](const HttpRequest& request, Duration timeout, const StoreTransport::Done& done) {
+        transport.call(request, timeout, done);
+        return true;
+    });
+    StoreSession prompt { loop, proxied, platform::platformEdges().store };
+    proxied.setReachableHandler([&prompt](bool isReachable) { prompt.onReachable(isReachable); });
+    prompt.watch(kind, [this](const StorePage& page, bool) {
+        for (const StoreObject& object : page.objects)
+            seen.insert(object.name);
+    });
+    CHECK(runUntil([this] { return store.watchCalls() == 1; }));
+    proxy.setCut(true, true);
+    store.put(kind, "first", {});
+    // Shows that the store is lost.
+    prompt.list("others", false, [](const absl::StatusOr<StorePage>&) {});
+    CHECK(sees("first"));
+}
+
 TEST(StoreWatch, AChangeOfAKindThatIsNotWatchedIsPassedOver)
 {
     session.hurryWatch("others", 1'000);
