Store: one that has gone silent is noticed within 2.5 s

Cause: an instance beside a server without keys calls the store only by watches that wait 25 s. When the store falls silent to it, nothing shows that; it hears of changes if another instance happens to tell it, and helps others in vain meanwhile: whoever asked it for a call to the store waited 1.5 s for nothing.

Evidence: AStoreThatGoesSilentIsNoticedWhileOnlyAWatchWaits; without the probe the store is not known to be lost after 20 s.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -17,6 +17,9 @@
     constexpr const char* secretObject = "secret";
     constexpr const char* secretMember = "secret";
     constexpr Milliseconds secretPause { 300 };
+    // With the time that a call may take, a store that has gone silent is noticed within half of the bound on
+    // evacuations.
+    constexpr Milliseconds storeProbeInterval { 1'000 };
     constexpr Milliseconds stopCheckInterval { 50 };
     // Callers learn from readiness checks, one a second, that they are to go elsewhere: two must fail.
     constexpr Milliseconds leastStopTime { 2'300 };
@@ -141,6 +144,7 @@
         onZones();
     });
     store_.watch(fleetKind, [this](const StorePage& page, bool isWhole) { onFleet(page, isWhole); });
+    store_.probe(edges_.zonesOutKind, storeProbeInterval);
 }
 
 void Sidecar::onFleet(const StorePage& page, bool isWhole)
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -214,6 +214,7 @@
     , dialect_(std::move(dialect))
     , pauses_(pauses)
     , lostTimer_(loop)
+    , probeTimer_(loop)
 {
 }
 
@@ -242,6 +243,20 @@
     });
 }
 
+void StoreSession::probe(const std::string& kind, Milliseconds interval)
+{
+    const Duration quiet = BootClock::now() - transport_.lastAnswer();
+    const bool isDue = quiet >= interval;
+    // A lost store is tried by the watches.
+    if (isDue && transport_.isReachable())
+        list(kind, true, [](const absl::StatusOr<StorePage>&) {});
+    probeTimer_.expires_after(isDue ? interval : interval - quiet);
+    probeTimer_.async_wait([this, kind, interval](std::error_code error) {
+        if (!error)
+            probe(kind, interval);
+    });
+}
+
 void StoreSession::renewWatches()
 {
     for (const auto& [kind, watch] : watches_)
--- a/src/store/storesession.h
+++ b/src/store/storesession.h
@@ -60,6 +60,10 @@
     // come from a copy of the store that is seconds old.
     void setWatchInterval(const std::string& kind, Milliseconds interval);
 
+    // Reads the kind from a stale copy whenever the store has answered nothing for that time, so that a way
+    // to it that has gone silent is noticed while only watches wait.
+    void probe(const std::string& kind, Milliseconds interval);
+
     // Another instance knows of that revision of the kind. Where less is known here, reads now what changed;
     // a watch under way that does not tell of it soon is given up, since its connection has gone silent.
     void hurryWatch(const std::string& kind, int64_t revision);
@@ -77,6 +81,7 @@
     StoreDialect dialect_;
     StoreRetryPauses pauses_;
     asio::steady_timer lostTimer_;
+    asio::steady_timer probeTimer_;
     std::map<std::string, std::shared_ptr<KindWatch>> watches_; // By kind.
 };
 
--- a/src/store/storetransport.cpp
+++ b/src/store/storetransport.cpp
@@ -75,8 +75,11 @@
 
 void StoreTransport::noteDirect(bool isGood)
 {
-    if (!isGood)
-        nextDirectTry_ = BootClock::now() + directPause;
+    const TimePoint now = BootClock::now();
+    if (isGood)
+        lastAnswer_ = now;
+    else
+        nextDirectTry_ = now + directPause;
     if (std::exchange(isReachable_, isGood) != isGood && onReachable_)
         onReachable_(isGood);
 }
--- a/src/store/storetransport.h
+++ b/src/store/storetransport.h
@@ -46,6 +46,9 @@
 
     bool isReachable() const { return isReachable_; }
 
+    // When the store last answered this instance.
+    TimePoint lastAnswer() const { return lastAnswer_; }
+
 private:
     CallId callDirectly(const HttpRequest& request, Duration timeout, const Done& done);
     void noteDirect(bool isGood);
@@ -55,6 +58,7 @@
     std::function<void(bool)> onReachable_;
     bool isReachable_ = true;
     TimePoint nextDirectTry_;
+    TimePoint lastAnswer_;
 };
 
 }
--- a/tests/sidecar/storewatch.cpp
+++ b/tests/sidecar/storewatch.cpp
@@ -204,6 +204,20 @@
     CHECK(sees("first"));
 }
 
+TEST(StoreWatch, AStoreThatGoesSilentIsNoticedWhileOnlyAWatchWaits)
+{
+    FaultProxy proxy(loop, proxiedStoreAddress, storeAddress);
+    StoreTransport proxied { loop, proxiedStoreAddress };
+    bool isLost = false;
+    proxied.setReachableHandler([&isLost](bool isReachable) { isLost = !isReachable; });
+    StoreSession prompt { loop, proxied, platform::platformEdges().store };
+    prompt.watch(kind, [](const StorePage&, bool) {});
+    prompt.probe(kind, Milliseconds(100));
+    CHECK(runUntil([this] { return store.watchCalls() == 1; }));
+    proxy.setCut(true, true);
+    CHECK(runUntil([&isLost] { return isLost; }));
+}
+
 TEST(StoreWatch, AChangeOfAKindThatIsNotWatchedIsPassedOver)
 {
     session.hurryWatch("others", 1'000);
