Http: an answer without an end is given up

Cause: Beast's parser bounds a head and a body. It does not bound the extension of a chunk or the trailers: it asks for more, and the connection kept all that came. Nor does anything bound how many interim answers or answers to other requests come before the answer. And each body could take 64 MiB, on each of a server's connections at once, while a frame between instances carries 2 MiB: a larger answer ended the link and with it the requests of others on it (read, not measured).

Change: bounds on an unfinished line, on answers that are passed over, on one body and on all bodies of a client together, where the largest is given up so that answers beside an endless one are whole. The gate sets the bounds by what a frame carries.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -66,6 +66,19 @@
         connection->abort("all connections were closed");
 }
 
+void HttpClient::limitBodies()
+{
+    size_t sum = 0;
+    std::shared_ptr<HttpClientConnection> largest;
+    for (const auto& [id, connection] : calls_) {
+        sum += connection->bodySize();
+        if (!largest || connection->bodySize() > largest->bodySize())
+            largest = connection;
+    }
+    if (sum > options_.bodiesTogether)
+        largest->abort("the answer is too large beside others");
+}
+
 void HttpClient::release(const std::shared_ptr<HttpClientConnection>& connection)
 {
     idle_.push_front(connection);
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -20,7 +20,7 @@
 enum class CallOutcome {
     Answered,
     NotSent, // Certainly no byte of the request was sent.
-    Lost, // Sent at least in part; the connection ended, or what came was no answer.
+    Lost, // Sent at least in part; the connection ended, or what came was no answer or had no end.
     TimedOut, // Sent at least in part; no whole answer came in time.
 };
 
@@ -39,7 +39,11 @@
     // without an answer then ends those that lie idle too: what silenced one may have silenced all.
     bool noticesSilence = false;
     // Whether the answer belongs to the request; others are dropped, and their connection is not kept.
-    std::function<bool(const HttpRequest& request, const HttpResponse& response)> isAnswerTo;
+    std::function<bool(const HttpRequest& request, const HttpResponse& response)> isAnswerTo {};
+    // Bytes of one answer's body, and of all that are being received. An answer that exceeds the one, and the
+    // largest where all exceed the other, is given up.
+    size_t largestBody = 64UL * 1024 * 1024;
+    size_t bodiesTogether = 64UL * 1024 * 1024;
 };
 
 // Calls to one server over kept connections, one request at a time on each, driven by one event loop. A
@@ -74,6 +78,7 @@
 
     void release(const std::shared_ptr<HttpClientConnection>& connection);
     void forget(const HttpClientConnection& connection);
+    void limitBodies();
 
     asio::io_context& loop_;
     HttpClientOptions options_;
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -14,8 +14,12 @@
 
     namespace http = boost::beast::http;
 
-    // The largest answer that is taken from a server.
-    constexpr uint64_t largestAnswer = 64ULL * 1024 * 1024;
+    // Bytes that may wait for the rest of a line.
+    constexpr size_t longestLine = 16'384;
+    // Interim answers, and late ones to other requests, that may come before the answer.
+    constexpr int mostPassedOver = 16;
+    // Smaller bodies are not worth counting together.
+    constexpr size_t largeBody = 65'536;
     constexpr int firstFinalStatus = 200;
     // A kept connection is given up this long before the server closes it.
     constexpr Milliseconds idleMargin { 1'000 };
@@ -89,9 +93,8 @@
 void HttpClientConnection::write()
 {
     hasSent_ = true;
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(largestAnswer);
+    passedOver_ = 0;
+    beginAnswer();
     parser_->skip(request_.method == "HEAD");
     auto bytes = std::make_shared<std::string>(encodeRequest(request_));
     asio::async_write(
@@ -103,6 +106,13 @@
     read();
 }
 
+void HttpClientConnection::beginAnswer()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(client_->options_.largestBody);
+}
+
 void HttpClientConnection::read()
 {
     if (isReading_ || !client_)
@@ -140,6 +150,10 @@
         else if (error || used == 0)
             break;
     }
+    if (client_ && !isIdle() && buffer_.size() > longestLine)
+        return finish(CallOutcome::Lost, "what came is no answer: a line has no end");
+    if (client_ && bodySize() > largeBody)
+        client_->limitBodies();
     read();
 }
 
@@ -168,10 +182,9 @@
         isTainted_ = isTainted_ || isForeign;
         if (isForeign && !keepsAlive)
             return finish(CallOutcome::Lost, "an answer to another request came");
-        parser_.emplace();
-        parser_->eager(true);
-        parser_->body_limit(largestAnswer);
-        return;
+        if (++passedOver_ > mostPassedOver)
+            return finish(CallOutcome::Lost, "too many answers to other requests came");
+        return beginAnswer();
     }
     noteKeepAlive(response);
     isTainted_ = isTainted_ || !keepsAlive || !isWritten_ || !buffer_.empty();
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -29,6 +29,9 @@
     bool isIdle() const { return !done_; }
     HttpClient::CallId callId() const { return callId_; }
 
+    // Bytes received of the body of the present answer.
+    size_t bodySize() const { return parser_ ? parser_->get().body().size() : 0; }
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
@@ -40,6 +43,7 @@
     void ended(std::error_code error);
     void answered();
     void finish(CallOutcome outcome, std::string detail, HttpResponse response = {});
+    void beginAnswer();
     void armDeadline(Duration timeout);
     void armIdle();
     void noteKeepAlive(const HttpResponse& response);
@@ -59,6 +63,7 @@
     bool isReading_ = false;
     bool hasSent_ = false;
     bool isWritten_ = false;
+    int passedOver_ = 0; // Answers that were none to the present request.
     bool isTainted_ = false; // Carried an answer of another request.
 };
 
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/servergate.h"
 
 #include "base/logger.h"
+#include "messages/frame.h"
 
 #include <algorithm>
 #include <cmath>
@@ -21,12 +22,17 @@
     // What is sent at the deadline cannot be answered in time.
     constexpr Milliseconds leastTimeLeft { 5 };
     constexpr int usualPacePercent = 100;
+    // What one frame to another instance carries beside the answer's head.
+    constexpr size_t largestAnswer = largestFrame - 131'072;
+    constexpr size_t answersTogether = 16UL * 1024 * 1024;
     constexpr double wholePercent = 100;
 
     HttpClientOptions clientOptions(const ServerGateOptions& options)
     {
         HttpClientOptions result;
         result.address = options.settings.serverAddress;
+        result.largestBody = largestAnswer;
+        result.bodiesTogether = answersTogether;
         result.isAnswerTo = options.edges->isAnswerTo;
         return result;
     }
