--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -105,6 +105,9 @@
             break;
     }
     buffer_.erase(0, used);
+    // The parser bounds heads and bodies, but neither the extension of a chunk nor trailers.
+    if (mayReadOn() && buffer_.size() > server_->limits_.headerBytes)
+        refuse(statusHeadersTooLarge);
 }
 
 void HttpServerConnection::accept()
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -162,6 +162,19 @@
     CHECK(caller.received().find("HTTP/1.1 431") == 0);
 }
 
+TEST(HttpServer, ARequestWithoutAnEndIsCutOff)
+{
+    for (const std::string beginning : { "4;", "0\r\nField: " }) {
+        RawPeer endless(loop);
+        endless.connect(serverAddress);
+        endless.send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + beginning
+            + std::string(20'000, 'x'));
+        CHECK(runUntil(loop, [&endless] { return endless.isClosed(); }));
+        CHECK(endless.received().find("HTTP/1.1 431") == 0);
+    }
+    LONGS_EQUAL(0, exchanges.size());
+}
+
 TEST(HttpServer, ADrainingServerClosesAfterTheAnswer)
 {
     caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
