Soak: nothing runs in a zone past the bound on its evacuation

Why the soak had not found EVAC: it took zones out for at most 3 s, less than the bound of 5 s, and did not look where requests ran meanwhile.

Zones now stay out for up to 15 s. A run at a server of a zone that has been out for 5 s breaks a promise, if nothing has kept its daemon from running or from the store for 3 s. At the end, when all is served again, all zones are taken out at once, so that no key has a target, and come back.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -20,6 +20,7 @@
     // A request is lost by a planned stop only when nothing else happened for so long before it.
     constexpr Milliseconds contact { 3'000 };
     constexpr Milliseconds drainTime { 2'500 };
+    constexpr Milliseconds evacuationTime { 5'000 };
     constexpr int lastKey = 65'535;
     constexpr int statusOk = 200;
 
@@ -65,9 +66,10 @@
         machine.service = i < machineCount / 2 ? "gallery" : "orders";
         machine.program = options_.program;
         machine.directory = options_.directory;
-        machine.onServer = [this](StandInServer& server) {
-            server.setRunHandler([this, &server](const HttpRequest& request) {
+        machine.onServer = [this, i](StandInServer& server) {
+            server.setRunHandler([this, i, &server](const HttpRequest& request) {
                 promises_.ran(server, request, othersOf(server), BootClock::now());
+                checkZone(*machines_[static_cast<size_t>(i)], request);
             });
             server.setTakeHandler([this, &server](const StandInServer::Held& range) {
                 promises_.took(server, range, othersOf(server));
@@ -131,24 +133,28 @@
     busy_.insert(&machine);
     machine.server().stop();
     const bool hasSameId = random_() % 3 == 0;
-    return { "server-crash", BootClock::now() + between(100, 2'500), [this, &machine, hasSameId] {
-                machine.startServer(hasSameId);
-                busy_.erase(&machine);
-                return true;
-            } };
+    return { "server-crash", BootClock::now() + between(100, 2'500),
+        [this, &machine, hasSameId] {
+            machine.startServer(hasSameId);
+            busy_.erase(&machine);
+            return true;
+        },
+        true, Reach::Nobody };
 }
 
 Soak::Fault Soak::replaceServer(Machine& machine)
 {
     busy_.insert(&machine);
     machine.server().setDraining();
-    return { "server-replaced", BootClock::now() + drainTime + between(0, 1'000), [this, &machine] {
-                machine.server().leave();
-                machine.server().stop();
-                machine.startServer(false);
-                busy_.erase(&machine);
-                return true;
-            } };
+    return { "server-replaced", BootClock::now() + drainTime + between(0, 1'000),
+        [this, &machine] {
+            machine.server().leave();
+            machine.server().stop();
+            machine.startServer(false);
+            busy_.erase(&machine);
+            return true;
+        },
+        true, Reach::Nobody };
 }
 
 Soak::Fault Soak::harmStore(int kind)
@@ -221,20 +227,25 @@
         },
         [this](Machine& machine) { return crashServer(machine); },
         [this](Machine& machine) { return replaceServer(machine); },
-        [this](Machine&) { return harmStore(static_cast<int>(random_() % 4)); },
+        [this](Machine&) {
+            Fault fault = harmStore(static_cast<int>(random_() % 4));
+            fault.reach = Reach::Everybody;
+            return fault;
+        },
         [this](Machine& machine) { return harmPath(machine.storeProxy(), "store-path"); },
         [this](Machine& machine) { return harmPath(machine.peerProxy(), "peer-path"); },
         [this](Machine& machine) {
             machine.reloadDaemon();
             putConfiguration(++version_);
-            return Fault { "configuration", BootClock::now(), [] { return true; }, false };
+            return Fault { "configuration", BootClock::now(), [] { return true; }, false, Reach::Nobody };
         },
         [this](Machine& machine) {
-            store_->put("evacuations", machine.zone(), nlohmann::json::object());
-            return Fault { "zone-out", BootClock::now() + between(500, 3'000), [this, &machine] {
-                              store_->remove("evacuations", machine.zone());
-                              return true;
-                          } };
+            takeZoneOut(machine.zone());
+            const auto heal = [this, &machine] {
+                takeZoneIn(machine.zone());
+                return true;
+            };
+            return Fault { "zone-out", BootClock::now() + between(500, 15'000), heal, true, Reach::Nobody };
         },
     };
 }
@@ -245,9 +256,11 @@
     if (isBusy(machine))
         return;
     faults_.push_back(make(machine));
-    const Fault& fault = faults_.back();
+    Fault& fault = faults_.back();
+    fault.machine = &machine;
     if (fault.isHarm)
         lastHarm_ = BootClock::now();
+    noteReach(fault);
     std::cout << fmt::format("{} fault {} at {}\n", wallClockNow().count(), fault.name, machine.name())
               << std::flush;
 }
@@ -258,11 +271,48 @@
     for (auto fault = faults_.begin(); fault != faults_.end();) {
         if (fault->isHarm)
             lastHarm_ = now;
+        noteReach(*fault);
         const bool isOver = (isAll || now >= fault->until) && fault->heal();
         fault = isOver ? faults_.erase(fault) : std::next(fault);
     }
 }
 
+void Soak::noteReach(const Fault& fault)
+{
+    const TimePoint now = BootClock::now();
+    for (const auto& machine : machines_) {
+        const bool isReached = fault.reach == Reach::Everybody
+            || (fault.reach == Reach::Machine && fault.machine == machine.get());
+        if (isReached)
+            outOfTouchAt_[machine.get()] = now;
+    }
+}
+
+void Soak::takeZoneOut(const std::string& zone)
+{
+    store_->put("evacuations", zone, nlohmann::json::object());
+    zonesOut_.emplace(zone, BootClock::now());
+}
+
+void Soak::takeZoneIn(const std::string& zone)
+{
+    store_->remove("evacuations", zone);
+    zonesOut_.erase(zone);
+}
+
+void Soak::checkZone(const Machine& machine, const HttpRequest& request)
+{
+    const auto out = zonesOut_.find(machine.zone());
+    if (out == zonesOut_.end())
+        return;
+    const TimePoint now = BootClock::now();
+    const Duration outFor = now - out->second;
+    if (outFor >= evacuationTime && now - outOfTouchAt_[&machine] >= contact)
+        promises_.broken(fmt::format("request {} ran at {} {} ms after its zone was taken out",
+            *request.header("Persimmonfield-Request-Id"), machine.name(),
+            std::chrono::duration_cast<Milliseconds>(outFor).count()));
+}
+
 // Faults come in series, with a longer pause after some.
 void Soak::step()
 {
@@ -335,6 +385,20 @@
     loop_.run_for(time);
 }
 
+// Nobody can take the keys of a zone then.
+void Soak::emptyAllZones()
+{
+    for (const auto& machine : machines_)
+        takeZoneOut(machine->zone());
+    const TimePoint end = BootClock::now() + evacuationTime + Milliseconds(1'000);
+    while (BootClock::now() < end) {
+        runFor(requestInterval);
+        sendRequest();
+    }
+    for (const auto& machine : machines_)
+        takeZoneIn(machine->zone());
+}
+
 std::vector<std::string> Soak::run()
 {
     const auto waitUntilServed = [this](Milliseconds longest) {
@@ -360,6 +424,9 @@
     }
     if (!waitUntilServed(recovery))
         promises_.broken("not served everywhere again after the last fault");
+    emptyAllZones();
+    if (!waitUntilServed(recovery))
+        promises_.broken("not served everywhere again after all zones were taken out");
     return promises_.breaks();
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -33,12 +34,21 @@
     std::string summary() const;
 
 private:
+    // Whose daemons a fault keeps from running or from the store.
+    enum class Reach {
+        Nobody,
+        Machine,
+        Everybody,
+    };
+
     // A fault under way, or what undoes it.
     struct Fault {
         std::string name;
         TimePoint until;
         std::function<bool()> heal; // False when it is to be asked again.
         bool isHarm = true; // Not of planned work.
+        Reach reach = Reach::Machine;
+        const Machine* machine = nullptr;
     };
     using Maker = std::function<Fault(Machine& machine)>;
 
@@ -47,6 +57,11 @@
     void putConfiguration(int version);
     void begin(const Maker& make);
     void healDue(bool isAll);
+    void noteReach(const Fault& fault);
+    void takeZoneOut(const std::string& zone);
+    void takeZoneIn(const std::string& zone);
+    void emptyAllZones();
+    void checkZone(const Machine& machine, const HttpRequest& request);
     void step();
     void sendRequest();
     void ended(const HttpRequest& request, TimePoint sentAt, const CallResult& result);
@@ -72,6 +87,8 @@
     std::list<Fault> faults_;
     std::set<const Machine*> busy_; // Whose daemon or server is not up, by our doing.
     TimePoint lastHarm_;
+    std::map<const Machine*, TimePoint> outOfTouchAt_; // Last.
+    std::map<std::string, TimePoint> zonesOut_; // Since when.
     TimePoint nextFault_;
     int version_ = 1;
     int64_t requests_ = 0;
