Store: a change that is told while a watch is broken is read once it goes on

Cause: KindWatch::hurry passed over what another instance told while the kind was being listed or waited to be. The listing may be older than the change; a paced watch then went on from a copy that is seconds old, after its interval. An owner that is told that one of its ranges is to move could learn of it that much later.

Evidence: AChangeThatIsToldWhileAWatchIsBrokenIsReadOnceItGoesOn fails on the code before: the change is not seen within 20 s, the interval being an hour.

Change: the watch that follows the listing reads at once, and not from a stale copy.

--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -96,7 +96,11 @@
             session_->transport_.cancelWaiting(call_);
             return follow(false);
         }
-        if (phase_ != Phase::Watching || isHurried_)
+        if (phase_ == Phase::Listing || phase_ == Phase::Retrying) {
+            toldOf_ = revision;
+            return;
+        }
+        if (isHurried_)
             return;
         isHurried_ = true;
         await(hurryPatience, [this, revision] { giveUpIfBehind(revision); });
@@ -137,6 +141,8 @@
         const Duration left = followedAt_ ? *followedAt_ + interval_ - BootClock::now() : Duration::zero();
         // Where changes may be learned of later anyway, they may be read from a stale copy, which costs less.
         const bool mayBeStale = interval_ > Milliseconds(0);
+        if (std::exchange(toldOf_, 0) > revision_)
+            return follow(false);
         if (left <= Duration::zero())
             return follow(mayBeStale);
         begin(Phase::Pausing);
@@ -205,6 +211,7 @@
     bool isStale_ = false; // The watch under way reads from a copy that may be stale.
     StoreTransport::CallId call_ = 0; // The watch under way.
     int64_t revision_ = 0;
+    int64_t toldOf_ = 0; // The revision that another instance told of while no watch was under way.
 };
 
 StoreSession::StoreSession(
--- a/tests/sidecar/storewatch.cpp
+++ b/tests/sidecar/storewatch.cpp
@@ -218,6 +218,27 @@
     CHECK(runUntil([&isLost] { return isLost; }));
 }
 
+TEST(StoreWatch, AChangeThatIsToldWhileAWatchIsBrokenIsReadOnceItGoesOn)
+{
+    StoreSession prompt { loop, transport, platform::platformEdges().store };
+    prompt.watch(kind, [this](const StorePage& page, bool) {
+        for (const StoreObject& object : page.objects)
+            seen.insert(object.name);
+    });
+    prompt.setWatchInterval(kind, std::chrono::hours(1));
+    CHECK(runUntil([this] { return store.watchCalls() == 1; }));
+    bool isBroken = false;
+    transport.setReachableHandler([&isBroken](bool isReachable) { isBroken = isBroken || !isReachable; });
+    store.cutWatches();
+    CHECK(runUntil([&isBroken] { return isBroken; }));
+    store.put(kind, "first", {});
+    // The listing that comes next does not have it yet.
+    prompt.hurryWatch(kind, store.revision() + 1);
+    CHECK(sees("first"));
+    store.put(kind, "second", {});
+    CHECK(sees("second"));
+}
+
 TEST(StoreWatch, AChangeOfAKindThatIsNotWatchedIsPassedOver)
 {
     session.hurryWatch("others", 1'000);
