--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -183,7 +183,7 @@
         if (isForeign && !keepsAlive)
             return finish(CallOutcome::Lost, "an answer to another request came");
         if (++passedOver_ > mostPassedOver)
-            return finish(CallOutcome::Lost, "too many answers to other requests came");
+            return finish(CallOutcome::Lost, "too many interim answers, or answers to other requests, came");
         return beginAnswer();
     }
     noteKeepAlive(response);
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -63,7 +63,7 @@
     bool isReading_ = false;
     bool hasSent_ = false;
     bool isWritten_ = false;
-    int passedOver_ = 0; // Answers that were none to the present request.
+    int passedOver_ = 0; // Interim answers and answers to other requests since the request was sent.
     bool isTainted_ = false; // Carried an answer of another request.
 };
 
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -22,8 +22,9 @@
     // What is sent at the deadline cannot be answered in time.
     constexpr Milliseconds leastTimeLeft { 5 };
     constexpr int usualPacePercent = 100;
-    // What one frame to another instance carries beside the answer's head.
-    constexpr size_t largestAnswer = largestFrame - 131'072;
+    // An answer goes to another instance in one frame, with its head. Bytes.
+    constexpr size_t roomForHead = 131'072;
+    constexpr size_t largestAnswer = largestFrame - roomForHead;
     constexpr size_t answersTogether = 16UL * 1024 * 1024;
     constexpr double wholePercent = 100;
 
--- a/src/sidecar/zonesout.cpp
+++ b/src/sidecar/zonesout.cpp
@@ -21,7 +21,7 @@
 bool ZonesOut::take(const StorePage& page, bool isWhole, TimePoint now)
 {
     std::map<std::string, TimePoint> zones = isWhole ? std::map<std::string, TimePoint>() : since_;
-    // A listing does not tell for how long a zone has been out: longer than its keys may stay, it may be.
+    // A listing does not tell how long a zone has been out: its keys may have stayed their time already.
     const TimePoint since = isWhole ? now - keysMayStayFor_ : now;
     for (const StoreObject& object : page.objects) {
         const auto known = since_.find(object.name);
--- a/tests/sidecar/zonesout.cpp
+++ b/tests/sidecar/zonesout.cpp
@@ -47,6 +47,7 @@
 TEST(ZonesOut, NoZoneIsUsedBeforeTheyWereListed)
 {
     check(ZoneUse::Nothing, Milliseconds(0));
+    CHECK(zones.isOut("a"));
     zones.take(pageOf("b", 2), false, start);
     check(ZoneUse::Nothing, Milliseconds(0));
     CHECK(zones.take({ {}, false, 1 }, true, start));
