Log: a close that takes bytes or requests with it is told, and how late the loop is

Callers' connections that were closed with a request in the socket left no line. `connection-cut` names the cause of the close, the requests without an answer and the bytes that were not read, also those of a read whose handler was still queued; `stopped` counts open connections and requests; the histogram loop_delay_seconds shows how late timers are handled. No logic changed.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -109,7 +109,7 @@
     acceptor_.close(ignored);
     const std::vector<std::shared_ptr<HttpServerConnection>> all(connections_.begin(), connections_.end());
     for (const auto& connection : all)
-        connection->close();
+        connection->close(ConnectionEnd::ServerStopped);
 }
 
 }
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -31,6 +31,23 @@
         return request;
     }
 
+    const char* nameOf(ConnectionEnd end)
+    {
+        switch (end) {
+        case ConnectionEnd::LastAnswer:
+            return "last-answer";
+        case ConnectionEnd::CallerLeft:
+            return "caller-left";
+        case ConnectionEnd::Idle:
+            return "idle";
+        case ConnectionEnd::Drained:
+            return "drained";
+        case ConnectionEnd::ServerStopped:
+            return "server-stopped";
+        }
+        return "unknown";
+    }
+
     int statusFor(const boost::beast::error_code& error)
     {
         if (error == http::error::header_limit)
@@ -70,6 +87,8 @@
     socket_.async_read_some(
         asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, size_t size) {
             self->isReading_ = false;
+            if (self->end_ && size > 0)
+                self->logLoss(0, size);
             if (error)
                 return self->leave();
             if (!self->hasEnded_)
@@ -166,7 +185,7 @@
             if (error)
                 return self->leave();
             if (self->shouldCloseAfterWrite_)
-                return self->close();
+                return self->close(ConnectionEnd::LastAnswer);
             self->flush();
             if (self->waiting_.empty() && !self->isInMessage_)
                 self->armTimer();
@@ -182,7 +201,7 @@
 {
     auto waiting = std::move(waiting_);
     waiting_.clear();
-    close();
+    close(ConnectionEnd::CallerLeft);
     for (const auto& exchange : waiting) {
         if (!exchange->isAnswered_ && exchange->onLeave_)
             exchange->onLeave_();
@@ -192,21 +211,32 @@
 void HttpServerConnection::drain()
 {
     if (waiting_.empty() && !isInMessage_ && !isWriting_)
-        close();
+        close(ConnectionEnd::Drained);
 }
 
-void HttpServerConnection::close()
+void HttpServerConnection::close(ConnectionEnd cause)
 {
     if (!server_)
         return;
+    end_ = cause;
     const auto self = shared_from_this();
     std::exchange(server_, nullptr)->remove(self);
     timer_.cancel();
     std::error_code ignored;
+    const size_t unreadBytes = buffer_.size() + socket_.available(ignored);
+    if (cause != ConnectionEnd::CallerLeft && (unreadBytes > 0 || !waiting_.empty()))
+        logLoss(waiting_.size(), unreadBytes);
     socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
 }
 
+void HttpServerConnection::logLoss(size_t unanswered, size_t unreadBytes) const
+{
+    log(LogLevel::Warning, "connection-cut",
+        { { "cause", nameOf(*end_) }, { "unanswered", unanswered }, { "unreadBytes", unreadBytes },
+            { "isInMessage", isInMessage_ }, { "hasEnded", hasEnded_ } });
+}
+
 // Bounds the time for the rest of a request, or the time that the connection may stay idle.
 void HttpServerConnection::armTimer()
 {
@@ -217,7 +247,7 @@
         const auto self = weak.lock();
         if (error || !self || !self->waiting_.empty())
             return;
-        self->close();
+        self->close(ConnectionEnd::Idle);
     });
 }
 
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -13,6 +13,15 @@
 
 namespace persimmonfield {
 
+// Why the server ended a connection.
+enum class ConnectionEnd {
+    LastAnswer, // The answer that was to be the last one is written.
+    CallerLeft,
+    Idle, // Also when the rest of a request did not come in time.
+    Drained,
+    ServerStopped,
+};
+
 // One connection of a caller: reads requests ahead, answers them in their order, and tells each waiting one
 // when the caller has left.
 class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection> {
@@ -24,7 +33,7 @@
     // Closes at once when nothing waits, otherwise after the requests that were read.
     void drain();
 
-    void close();
+    void close(ConnectionEnd cause);
 
     // An exchange was given its answer.
     void flush();
@@ -40,6 +49,7 @@
     void leave();
     void armTimer();
     bool mayReadOn() const;
+    void logLoss(size_t unanswered, size_t unreadBytes) const;
 
     HttpServer* server_; // Null once closed.
     asio::ip::tcp::socket socket_;
@@ -48,6 +58,7 @@
     std::string buffer_; // Read and not parsed yet.
     std::optional<Parser> parser_;
     std::deque<std::shared_ptr<HttpExchange>> waiting_;
+    std::optional<ConnectionEnd> end_;
     bool isReading_ = false;
     bool isWriting_ = false;
     bool shouldCloseAfterWrite_ = false;
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -58,6 +58,7 @@
     void onDirectoryChange();
 
     bool isIdle() const { return open_.empty(); }
+    size_t openRequests() const { return open_.size(); }
 
     // From now on new requests are refused: the process is about to end.
     void refuseNew() { isRefusing_ = true; }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -366,7 +366,9 @@
     if (passed >= leastStopTime)
         ingress_->refuseNew();
     if (isTimeUp || (isIdle && passed >= leastStopTime)) {
-        log(LogLevel::Info, "stopped", { { "isIdle", isIdle } });
+        log(LogLevel::Info, "stopped",
+            { { "isIdle", isIdle }, { "callerConnections", callers_.openConnections() },
+                { "openRequests", ingress_->openRequests() } });
         return onStopped_();
     }
     stopTimer_.expires_after(stopCheckInterval);
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -309,9 +309,11 @@
 
     void scheduleCheck()
     {
-        client_.set_timer(checkInterval.count(), [this](const std::error_code& error) {
+        const TimePoint due = BootClock::now() + checkInterval;
+        client_.set_timer(checkInterval.count(), [this, due](const std::error_code& error) {
             if (error)
                 return;
+            options_.counters->histogram("loop_delay_seconds").observe(BootClock::now() - due);
             checkSilence();
             scheduleCheck();
         });
