Http: a drain or an idle time that ends cuts no request that has arrived

Callers saw connections to a stopping instance closed without an answer, 0.2 s and more after their request was sent (LOST). Nothing of it was logged: the request had not been parsed. A drain closed every connection on which nothing waited, at the signal and each 50 ms after it, and took what was handled for what had arrived: bytes in the socket, and those of a read whose handler was queued behind the drain's, were thrown away. The end of the idle time did the same.

A connection now waits until something arrives and reads in the handler, so that what was not handled is still in the socket; before it closes an idle connection it reads. A draining server leaves idle connections open: what comes on them is answered, with Connection: close. They are closed when the process has nothing left to do.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -93,12 +93,11 @@
     });
 }
 
-void HttpServer::drain()
+void HttpServer::closeIdle()
 {
-    isDraining_ = true;
     const std::vector<std::shared_ptr<HttpServerConnection>> all(connections_.begin(), connections_.end());
     for (const auto& connection : all)
-        connection->drain();
+        connection->closeIfIdle(ConnectionEnd::Drained);
 }
 
 void HttpServer::stop()
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -69,8 +69,12 @@
     // Holds for requests that are read from now on.
     void setLimits(const HttpServerLimits& limits) { limits_ = limits; }
 
-    // From now on each answer ends its connection, and idle connections are closed.
-    void drain();
+    // From now on each answer ends its connection. Connections that are idle stay open: what callers send on
+    // them is still answered.
+    void drain() { isDraining_ = true; }
+
+    // Closes the connections on which no request is waiting or has arrived.
+    void closeIdle();
 
     size_t openConnections() const { return connections_.size(); }
 
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -5,6 +5,7 @@
 #include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <utility>
 
 namespace persimmonfield {
@@ -14,6 +15,7 @@
 
     // Requests of one connection that wait for their answers at the same time.
     constexpr size_t mostRequestsAhead = 32;
+    constexpr size_t chunkBytes = 8'192;
     constexpr int statusBadRequest = 400;
     constexpr int statusTooLarge = 413;
     constexpr int statusHeadersTooLarge = 431;
@@ -70,6 +72,7 @@
 {
     std::error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     armTimer();
     read();
 }
@@ -84,19 +87,32 @@
     if (isReading_ || !server_)
         return;
     isReading_ = true;
-    socket_.async_read_some(
-        asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, size_t size) {
-            self->isReading_ = false;
-            if (self->end_ && size > 0)
-                self->logLoss(0, size);
-            if (error)
-                return self->leave();
-            if (!self->hasEnded_)
-                self->buffer_.append(self->chunk_.data(), size);
-            self->parse();
-            if (self->mayReadOn() || self->hasEnded_)
-                self->read();
-        });
+    socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+        self->isReading_ = false;
+        if (!self->server_)
+            return;
+        if (error)
+            return self->leave();
+        self->receive();
+        if (self->mayReadOn() || self->hasEnded_)
+            self->read();
+    });
+}
+
+// Reads what has arrived. Nothing is read before it is handled, so that it can be seen in the socket until
+// then.
+void HttpServerConnection::receive()
+{
+    std::array<char, chunkBytes> chunk;
+    std::error_code error;
+    const size_t size = socket_.read_some(asio::buffer(chunk), error);
+    if (error == asio::error::would_block)
+        return;
+    if (error)
+        return leave();
+    if (!hasEnded_)
+        buffer_.append(chunk.data(), size);
+    parse();
 }
 
 // Parses what was read, as far as further requests may wait.
@@ -208,32 +224,34 @@
     }
 }
 
-void HttpServerConnection::drain()
+void HttpServerConnection::closeIfIdle(ConnectionEnd cause)
 {
-    if (waiting_.empty() && !isInMessage_ && !isWriting_)
-        close(ConnectionEnd::Drained);
+    const auto self = shared_from_this();
+    if (server_ && isIdle())
+        receive();
+    if (server_ && isIdle())
+        close(cause);
 }
 
 void HttpServerConnection::close(ConnectionEnd cause)
 {
     if (!server_)
         return;
-    end_ = cause;
     const auto self = shared_from_this();
     std::exchange(server_, nullptr)->remove(self);
     timer_.cancel();
     std::error_code ignored;
     const size_t unreadBytes = buffer_.size() + socket_.available(ignored);
     if (cause != ConnectionEnd::CallerLeft && (unreadBytes > 0 || !waiting_.empty()))
-        logLoss(waiting_.size(), unreadBytes);
+        logLoss(cause, unreadBytes);
     socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
 }
 
-void HttpServerConnection::logLoss(size_t unanswered, size_t unreadBytes) const
+void HttpServerConnection::logLoss(ConnectionEnd cause, size_t unreadBytes) const
 {
     log(LogLevel::Warning, "connection-cut",
-        { { "cause", nameOf(*end_) }, { "unanswered", unanswered }, { "unreadBytes", unreadBytes },
+        { { "cause", nameOf(cause) }, { "unanswered", waiting_.size() }, { "unreadBytes", unreadBytes },
             { "isInMessage", isInMessage_ }, { "hasEnded", hasEnded_ } });
 }
 
@@ -245,10 +263,24 @@
     timer_.expires_after(isInMessage_ ? server_->limits_.headerTimeout : server_->limits_.idleTimeout);
     timer_.async_wait([weak = weak_from_this()](std::error_code error) {
         const auto self = weak.lock();
-        if (error || !self || !self->waiting_.empty())
-            return;
-        self->close(ConnectionEnd::Idle);
+        if (!error && self)
+            self->timeUp();
     });
 }
 
+void HttpServerConnection::timeUp()
+{
+    const auto isTimeUp
+        = [this] { return server_ && asio::steady_timer::clock_type::now() >= timer_.expiry(); };
+    // The timer may have been set anew after it had expired.
+    if (!isTimeUp())
+        return;
+    if (!isInMessage_)
+        return closeIfIdle(ConnectionEnd::Idle);
+    // The rest of the request may have arrived.
+    receive();
+    if (isTimeUp() && isInMessage_ && waiting_.empty())
+        close(ConnectionEnd::Idle);
+}
+
 }
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -6,7 +6,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <array>
 #include <deque>
 #include <optional>
 #include <string>
@@ -30,8 +29,8 @@
 
     void start();
 
-    // Closes at once when nothing waits, otherwise after the requests that were read.
-    void drain();
+    // Closes the connection when no request is waiting on it or has arrived.
+    void closeIfIdle(ConnectionEnd cause);
 
     void close(ConnectionEnd cause);
 
@@ -42,24 +41,25 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void read();
+    void receive();
     void parse();
     void accept();
     void refuse(int status);
     void write(std::string bytes);
     void leave();
     void armTimer();
+    void timeUp();
+    bool isIdle() const { return waiting_.empty() && !isInMessage_ && !isWriting_; }
     bool mayReadOn() const;
-    void logLoss(size_t unanswered, size_t unreadBytes) const;
+    void logLoss(ConnectionEnd cause, size_t unreadBytes) const;
 
     HttpServer* server_; // Null once closed.
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
-    std::array<char, 8'192> chunk_;
     std::string buffer_; // Read and not parsed yet.
     std::optional<Parser> parser_;
     std::deque<std::shared_ptr<HttpExchange>> waiting_;
-    std::optional<ConnectionEnd> end_;
-    bool isReading_ = false;
+    bool isReading_ = false; // Waits until something arrives.
     bool isWriting_ = false;
     bool shouldCloseAfterWrite_ = false;
     bool hasEnded_ = false; // No further request is read.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -352,6 +352,7 @@
     log(LogLevel::Info, "stop", {});
     onStopped_ = std::move(done);
     stopBegan_ = BootClock::now();
+    callers_.drain();
     publishEntry();
     checkStopped();
 }
@@ -359,15 +360,16 @@
 void Sidecar::checkStopped()
 {
     const Duration passed = BootClock::now() - stopBegan_;
-    const bool isIdle = ingress_->isIdle() && gate_->isIdle();
     const bool isTimeUp = passed >= settings_.stopTime - stopMargin;
-    // Connections that are still in use are told to go with their next answer.
-    callers_.drain();
-    if (passed >= leastStopTime)
+    const bool mayEnd = passed >= leastStopTime;
+    if (mayEnd)
         ingress_->refuseNew();
-    if (isTimeUp || (isIdle && passed >= leastStopTime)) {
+    const auto isIdle = [this] { return ingress_->isIdle() && gate_->isIdle(); };
+    if (mayEnd && isIdle())
+        callers_.closeIdle();
+    if (isTimeUp || (mayEnd && isIdle() && callers_.openConnections() == 0)) {
         log(LogLevel::Info, "stopped",
-            { { "isIdle", isIdle }, { "callerConnections", callers_.openConnections() },
+            { { "isIdle", isIdle() }, { "callerConnections", callers_.openConnections() },
                 { "openRequests", ingress_->openRequests() } });
         return onStopped_();
     }
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -4,12 +4,14 @@
 #include "http/httpserver.h"
 
 #include <asio/connect.hpp>
+#include <asio/post.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -20,6 +22,7 @@
 
 const Address serverAddress { "127.0.0.1", 18'751 };
 const Address rawAddress { "127.0.0.1", 18'752 };
+const Address drainedAddress { "127.0.0.1", 18'753 };
 constexpr Milliseconds longTime { 10'000 };
 
 // Runs the loop until the condition holds; false when it never does.
@@ -64,7 +67,6 @@
     const std::string& received() const { return received_; }
     bool isClosed() const { return isClosed_; }
 
-private:
     void read()
     {
         socket_.async_read_some(asio::buffer(chunk_), [this](std::error_code error, size_t size) {
@@ -82,6 +84,7 @@
         });
     }
 
+private:
     asio::ip::tcp::socket socket_;
     std::array<char, 4'096> chunk_ {};
     std::string received_;
@@ -186,6 +189,49 @@
     LONGS_EQUAL(1, countOf(caller.received(), "last"));
 }
 
+// Bytes that were read, but whose handler waits behind the drain's, are those of a request as well.
+TEST(HttpServer, ADrainCutsNoRequestThatHasArrived)
+{
+    for (const bool isReadBefore : { false, true }) {
+        HttpServer draining(loop, [](const auto& exchange) { exchange->respond(answerWith("last")); });
+        CHECK(draining.listen(drainedAddress).ok());
+        RawPeer peer(loop);
+        peer.connect(drainedAddress);
+        CHECK(runUntil(loop, [&draining] { return draining.openConnections() == 1; }));
+        const auto drain = [&draining] {
+            draining.drain();
+            draining.closeIdle();
+        };
+        asio::post(loop, [this, &drain, &peer, isReadBefore] {
+            peer.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+            if (!isReadBefore)
+                return drain();
+            asio::post(loop, drain);
+        });
+        CHECK(runUntil(loop, [&peer] { return peer.isClosed(); }));
+        LONGS_EQUAL(1, countOf(peer.received(), "last"));
+        CHECK(peer.received().find("Connection: close") != std::string::npos);
+    }
+}
+
+// The loop is late: the request has arrived when the end of the idle time is handled.
+TEST(HttpServer, TheEndOfTheIdleTimeCutsNoRequestThatHasArrived)
+{
+    HttpServerLimits limits;
+    limits.idleTimeout = Milliseconds(100);
+    HttpServer impatient(loop, [](const auto& exchange) { exchange->respond(answerWith("served")); });
+    impatient.setLimits(limits);
+    CHECK(impatient.listen(drainedAddress).ok());
+    RawPeer peer(loop);
+    peer.connect(drainedAddress);
+    CHECK(runUntil(loop, [&impatient] { return impatient.openConnections() == 1; }));
+    asio::steady_timer sender(loop, Milliseconds(20));
+    sender.async_wait([&peer](std::error_code) { peer.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"); });
+    std::this_thread::sleep_for(Milliseconds(150));
+    CHECK(runUntil(loop, [&peer] { return peer.isClosed(); }));
+    LONGS_EQUAL(1, countOf(peer.received(), "served"));
+}
+
 TEST_GROUP(HttpClient)
 {
     asio::io_context loop { 1 };
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -422,3 +422,17 @@
     LONGS_EQUAL(200, result->response.status);
     CHECK(runUntil([&isStopped] { return isStopped; }));
 }
+
+TEST(Sidecar, AStopAnswersARequestThatHasArrivedOnAKeptConnection)
+{
+    begin({ "orders" });
+    LONGS_EQUAL(200, statusOf(0, orderRequest()));
+    std::optional<CallResult> result;
+    instances[0]->caller.call(
+        orderRequest(), longTime, [&result](CallResult ended) { result = std::move(ended); });
+    instances[0]->sidecar->stop([] {});
+    CHECK(runUntil([&result] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::Answered);
+    LONGS_EQUAL(1, instances[0]->caller.connectionsOpened());
+    LONGS_EQUAL(200, result->response.status);
+}
