Http: the last answer of a connection is whole though more was sent behind it

A connection was closed in both directions as soon as its last answer was written. If the caller had sent more behind it, the unread bytes made the kernel reset the connection, and what was left of the answer on its way was destroyed: a drain could cut an answer that was there. The same held for refusals of what cannot be read.

The sending side is closed first; what still comes is read and dropped until the caller closes, for a second at most. Callers that said Connection: close send no more, and are closed at once.

--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -16,6 +16,8 @@
     // Requests of one connection that wait for their answers at the same time.
     constexpr size_t mostRequestsAhead = 32;
     constexpr size_t chunkBytes = 8'192;
+    // What a caller still sends behind the last answer is read and dropped for at most so long.
+    constexpr Milliseconds lingerTime { 1'000 };
     constexpr int statusBadRequest = 400;
     constexpr int statusTooLarge = 413;
     constexpr int statusHeadersTooLarge = 431;
@@ -154,6 +156,7 @@
     parser_.reset();
     exchange->isLastOnConnection_ = isLast;
     hasEnded_ = isLast;
+    sendsNoMore_ = isLast;
     waiting_.push_back(exchange);
     timer_.cancel();
     server_->handler_(exchange);
@@ -201,7 +204,7 @@
             if (error)
                 return self->leave();
             if (self->shouldCloseAfterWrite_)
-                return self->close(ConnectionEnd::LastAnswer);
+                return self->linger();
             self->flush();
             if (self->waiting_.empty() && !self->isInMessage_)
                 self->armTimer();
@@ -212,12 +215,30 @@
         });
 }
 
+// Closing a socket with unread bytes resets the connection, which would destroy what is left of the answer on
+// its way: the sending side is closed first, and the rest when the caller has closed its own.
+void HttpServerConnection::linger()
+{
+    if (sendsNoMore_)
+        return close(ConnectionEnd::LastAnswer);
+    isLingering_ = true;
+    std::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    timer_.expires_after(lingerTime);
+    timer_.async_wait([weak = weak_from_this()](std::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->close(ConnectionEnd::LastAnswer);
+    });
+    read();
+}
+
 // The caller closed the connection or it broke: nobody waits for the answers any more.
 void HttpServerConnection::leave()
 {
     auto waiting = std::move(waiting_);
     waiting_.clear();
-    close(ConnectionEnd::CallerLeft);
+    close(isLingering_ ? ConnectionEnd::LastAnswer : ConnectionEnd::CallerLeft);
     for (const auto& exchange : waiting) {
         if (!exchange->isAnswered_ && exchange->onLeave_)
             exchange->onLeave_();
@@ -242,7 +263,9 @@
     timer_.cancel();
     std::error_code ignored;
     const size_t unreadBytes = buffer_.size() + socket_.available(ignored);
-    if (cause != ConnectionEnd::CallerLeft && (unreadBytes > 0 || !waiting_.empty()))
+    // What came behind the last answer counts as not read, and callers send it again.
+    const bool isLoss = !waiting_.empty() || (unreadBytes > 0 && cause != ConnectionEnd::LastAnswer);
+    if (isLoss && cause != ConnectionEnd::CallerLeft)
         logLoss(cause, unreadBytes);
     socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -47,9 +47,10 @@
     void refuse(int status);
     void write(std::string bytes);
     void leave();
+    void linger();
     void armTimer();
     void timeUp();
-    bool isIdle() const { return waiting_.empty() && !isInMessage_ && !isWriting_; }
+    bool isIdle() const { return waiting_.empty() && !isInMessage_ && !isWriting_ && !isLingering_; }
     bool mayReadOn() const;
     void logLoss(ConnectionEnd cause, size_t unreadBytes) const;
 
@@ -63,6 +64,8 @@
     bool isWriting_ = false;
     bool shouldCloseAfterWrite_ = false;
     bool hasEnded_ = false; // No further request is read.
+    bool sendsNoMore_ = false; // The caller said so.
+    bool isLingering_ = false;
     bool isInMessage_ = false; // A part of a request was read.
 };
 
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -8,6 +8,7 @@
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,7 +23,9 @@
 
 const Address serverAddress { "127.0.0.1", 18'751 };
 const Address rawAddress { "127.0.0.1", 18'752 };
-const Address drainedAddress { "127.0.0.1", 18'753 };
+const Address drainedAddress { "127.0.0.1", 18'754 };
+constexpr size_t largeAnswer = 40'000;
+constexpr int smallReceiveBuffer = 4'096;
 constexpr Milliseconds longTime { 10'000 };
 
 // Runs the loop until the condition holds; false when it never does.
@@ -50,6 +53,13 @@
         read();
     }
 
+    void connectWithoutReading(const Address& address, int receiveBuffer)
+    {
+        socket_.open(asio::ip::tcp::v4());
+        socket_.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+        socket_.connect({ asio::ip::make_address(address.host), static_cast<uint16_t>(address.port) });
+    }
+
     void accept(asio::ip::tcp::acceptor& acceptor, std::string answer, bool shouldClose)
     {
         acceptor.async_accept(
@@ -232,6 +242,24 @@
     LONGS_EQUAL(1, countOf(peer.received(), "served"));
 }
 
+TEST(HttpServer, TheLastAnswerOfAConnectionIsWholeThoughMoreWasSentBehindIt)
+{
+    RawPeer slow(loop);
+    slow.connectWithoutReading(serverAddress, smallReceiveBuffer);
+    slow.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(runUntil(loop, [this] { return exchanges.size() == 1; }));
+    server.drain();
+    exchanges[0]->respond(answerWith(std::string(largeAnswer, 'x')));
+    slow.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    loop.restart();
+    loop.run_for(Milliseconds(20));
+    slow.read();
+    CHECK(runUntil(loop, [&slow] { return slow.isClosed(); }));
+    LONGS_EQUAL(largeAnswer, std::count(slow.received().begin(), slow.received().end(), 'x'));
+    LONGS_EQUAL(1, countOf(slow.received(), "HTTP/1.1 200"));
+    LONGS_EQUAL(1, exchanges.size());
+}
+
 TEST_GROUP(HttpClient)
 {
     asio::io_context loop { 1 };
