Sidecar: the end of a stop cuts no request that has arrived

A stopping process ended as soon as its ingress and its gate were idle. What had arrived in sockets, or waited in the listen queue, was reset with them: the same taking of what was handled for what has arrived as in the drain.

Once nothing is left to do, the callers' server stops listening, after it has accepted what waits in the queue, and then closes the connections on which nothing has arrived; the process ends when none is open, at the latest 0.3 s before it is ended by force.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -76,13 +76,34 @@
             log(LogLevel::Warning, "accept-failed", { { "cause", error.message() } });
             return pauseAccepting();
         }
-        const auto connection = std::make_shared<HttpServerConnection>(*this, std::move(socket));
-        connections_.insert(connection);
-        connection->start();
-        accept();
+        accepted(std::move(socket));
+        if (acceptor_.is_open())
+            accept();
     });
 }
 
+void HttpServer::accepted(asio::ip::tcp::socket socket)
+{
+    const auto connection = std::make_shared<HttpServerConnection>(*this, std::move(socket));
+    connections_.insert(connection);
+    connection->start();
+}
+
+// The kernel would reset the connections that wait in the listen queue: they are accepted before.
+void HttpServer::stopListening()
+{
+    std::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(loop_);
+        acceptor_.accept(socket, error);
+        if (!error)
+            accepted(std::move(socket));
+    }
+    acceptTimer_.cancel();
+    acceptor_.close(error);
+}
+
 // Without free descriptors, accepting fails at once again and again.
 void HttpServer::pauseAccepting()
 {
@@ -93,8 +114,10 @@
     });
 }
 
-void HttpServer::closeIdle()
+void HttpServer::finish()
 {
+    if (acceptor_.is_open())
+        return stopListening();
     const std::vector<std::shared_ptr<HttpServerConnection>> all(connections_.begin(), connections_.end());
     for (const auto& connection : all)
         connection->closeIfIdle(ConnectionEnd::Drained);
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -73,8 +73,9 @@
     // them is still answered.
     void drain() { isDraining_ = true; }
 
-    // Closes the connections on which no request is waiting or has arrived.
-    void closeIdle();
+    // First stops listening; called again, closes the connections on which no request is waiting or has
+    // arrived. To be repeated until no connection is open: the others close after their answers.
+    void finish();
 
     size_t openConnections() const { return connections_.size(); }
 
@@ -85,6 +86,8 @@
     friend class HttpServerConnection;
 
     void accept();
+    void accepted(asio::ip::tcp::socket socket);
+    void stopListening();
     void pauseAccepting();
     void remove(const std::shared_ptr<HttpServerConnection>& connection) { connections_.erase(connection); }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -31,8 +31,10 @@
     constexpr int likelyPlanners = 2;
     // Others that an instance tells of a change of the operator's: if all do, hardly one is left out.
     constexpr int instancesTold = 3;
-    // The process must be gone before it is ended by force.
+    // Callers' connections are ended so long before the process is ended by force.
     constexpr Milliseconds stopMargin { 600 };
+    // The process must be gone before it is ended by force.
+    constexpr Milliseconds endMargin { 300 };
 
 }
 
@@ -361,15 +363,17 @@
 {
     const Duration passed = BootClock::now() - stopBegan_;
     const bool isTimeUp = passed >= settings_.stopTime - stopMargin;
-    const bool mayEnd = passed >= leastStopTime;
-    if (mayEnd)
+    if (passed >= leastStopTime)
         ingress_->refuseNew();
-    const auto isIdle = [this] { return ingress_->isIdle() && gate_->isIdle(); };
-    if (mayEnd && isIdle())
-        callers_.closeIdle();
-    if (isTimeUp || (mayEnd && isIdle() && callers_.openConnections() == 0)) {
+    const bool isIdle = ingress_->isIdle() && gate_->isIdle();
+    isFinishing_ = isFinishing_ || isTimeUp || (isIdle && passed >= leastStopTime);
+    if (isFinishing_)
+        callers_.finish();
+    const bool isFinished = isFinishing_ && callers_.openConnections() == 0 && ingress_->isIdle();
+    if ((isFinished && gate_->isIdle()) || passed >= settings_.stopTime - endMargin) {
         log(LogLevel::Info, "stopped",
-            { { "isIdle", isIdle() }, { "callerConnections", callers_.openConnections() },
+            { { "isIdle", isFinished && gate_->isIdle() },
+                { "callerConnections", callers_.openConnections() },
                 { "openRequests", ingress_->openRequests() } });
         return onStopped_();
     }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -103,6 +103,7 @@
     std::function<uint64_t()> random_;
     bool isJoining_ = false;
     bool isStopping_ = false;
+    bool isFinishing_ = false; // Nothing is left to do but to end the callers' connections.
     TimePoint stopBegan_;
     std::function<void()> onStopped_;
 };
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -210,7 +210,8 @@
         CHECK(runUntil(loop, [&draining] { return draining.openConnections() == 1; }));
         const auto drain = [&draining] {
             draining.drain();
-            draining.closeIdle();
+            draining.finish();
+            draining.finish();
         };
         asio::post(loop, [this, &drain, &peer, isReadBefore] {
             peer.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -224,6 +225,25 @@
     }
 }
 
+TEST(HttpServer, TheEndOfListeningCutsNoConnectionThatWaitsInTheQueue)
+{
+    HttpServer ending(loop, [](const auto& exchange) { exchange->respond(answerWith("last")); });
+    CHECK(ending.listen(drainedAddress).ok());
+    RawPeer first(loop);
+    RawPeer second(loop);
+    for (RawPeer* peer : { &first, &second }) {
+        peer->connect(drainedAddress);
+        peer->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    ending.drain();
+    ending.finish();
+    for (const RawPeer* peer : { &first, &second }) {
+        CHECK(runUntil(loop, [peer] { return peer->isClosed(); }));
+        LONGS_EQUAL(1, countOf(peer->received(), "last"));
+    }
+    CHECK(runUntil(loop, [&ending] { return ending.openConnections() == 0; }));
+}
+
 // The loop is late: the request has arrived when the end of the idle time is handled.
 TEST(HttpServer, TheEndOfTheIdleTimeCutsNoRequestThatHasArrived)
 {
