Sidecar: a request that outlasts a planned stop gets an answer

Here requests are refused from 2.3 s after the signal on, so none that comes late is taken and then cut. But one that was taken before and whose server needs longer was cut without an answer when the time was up, also one that must not be repeated: its caller could not tell it from one that was not read.

0.6 s before the process is ended by force all open requests are ended with an answer: 503 where none was sent to a server, 502 where one may have run.

Before: ARequestThatOutlastsAPlannedStopIsToldSo got no answer; now 502.

--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -411,13 +411,26 @@
 }
 
 void Ingress::timedOut(const PassagePtr& passage)
+{
+    end(passage, notRun(RefusalReason::DeadlinePassed, "no answer came before the deadline"));
+}
+
+void Ingress::giveUp()
+{
+    const std::vector<PassagePtr> open(open_.begin(), open_.end());
+    for (const PassagePtr& passage : open)
+        end(passage, notRun(RefusalReason::Stopping, "no answer came before this instance ended"));
+}
+
+// Ends the request whatever is under way; the reply is that of one that has not run.
+void Ingress::end(const PassagePtr& passage, Reply reply)
 {
     if (passage->isOver)
         return;
     const bool isUnderWay = passage->cancelCall != nullptr;
     cancelCall(*passage);
     passage->mayHaveRun = passage->mayHaveRun || isUnderWay;
-    finish(passage, notRun(RefusalReason::DeadlinePassed, "no answer came before the deadline"));
+    finish(passage, std::move(reply));
 }
 
 void Ingress::callerLeft(const PassagePtr& passage)
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -63,6 +63,9 @@
     // From now on new requests are refused: the process is about to end.
     void refuseNew() { isRefusing_ = true; }
 
+    // Ends all open requests without their servers' answers; their callers are told.
+    void giveUp();
+
 private:
     struct Passage;
     using PassagePtr = std::shared_ptr<Passage>;
@@ -94,6 +97,7 @@
     bool mayTryAgain(const Passage& passage, const Reply& reply);
     void waitOrRefuse(const PassagePtr& passage, Reply reply);
     void timedOut(const PassagePtr& passage);
+    void end(const PassagePtr& passage, Reply reply);
     void callerLeft(const PassagePtr& passage);
     void finish(const PassagePtr& passage, Reply reply);
     void cancelCall(Passage& passage);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -31,7 +31,7 @@
     constexpr int likelyPlanners = 2;
     // Others that an instance tells of a change of the operator's: if all do, hardly one is left out.
     constexpr int instancesTold = 3;
-    // Callers' connections are ended so long before the process is ended by force.
+    // What is still open so long before the process is ended by force is given up, and its callers are told.
     constexpr Milliseconds stopMargin { 600 };
     // The process must be gone before it is ended by force.
     constexpr Milliseconds endMargin { 300 };
@@ -365,6 +365,8 @@
     const bool isTimeUp = passed >= settings_.stopTime - stopMargin;
     if (passed >= leastStopTime)
         ingress_->refuseNew();
+    if (isTimeUp)
+        ingress_->giveUp();
     const bool isIdle = ingress_->isIdle() && gate_->isIdle();
     isFinishing_ = isFinishing_ || isTimeUp || (isIdle && passed >= leastStopTime);
     if (isFinishing_)
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -436,3 +436,21 @@
     LONGS_EQUAL(1, instances[0]->caller.connectionsOpened());
     LONGS_EQUAL(200, result->response.status);
 }
+
+TEST(Sidecar, ARequestThatOutlastsAPlannedStopIsToldSo)
+{
+    begin({ "orders" });
+    serverOf(0).holdAnswers(true);
+    std::optional<CallResult> result;
+    instances[0]->caller.call(
+        orderRequest(), longTime, [&result](CallResult ended) { result = std::move(ended); });
+    CHECK(runUntil([this] { return runsOfAll() == 1; }));
+    bool isStopped = false;
+    instances[0]->sidecar->stop([&isStopped] { isStopped = true; });
+    CHECK(runUntil([&isStopped] { return isStopped; }));
+    instances[0]->sidecar.reset();
+    CHECK(runUntil([&result] { return result.has_value(); }));
+    CHECK(result->outcome == CallOutcome::Answered);
+    LONGS_EQUAL(502, result->response.status);
+    LONGS_EQUAL(1, runsOfAll());
+}
