Sidecar: a stop serves the calls of work that its server still runs

Requests whose server made a call of its own later than 2.3 s after the signal failed with a 500: the call, made through the stopping instance, was refused like a new request. Calls are now accepted while the gate runs something, where their deadline comes before the end of the process. Everything else is refused from then on as before.

Before: AStopServesTheCallsOfItsServersWorkAndTakesNothingElseLate got 503 for the call, now 200; a request of a team gets 503 and does not run.

--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -140,8 +140,6 @@
     if (!head.ok())
         return notRun(RefusalReason::BadRequest, std::string(head.status().message()));
     passage.id = head->requestId;
-    if (isRefusing_)
-        return notRun(RefusalReason::Stopping, "this instance is stopping");
     if (!router_ || !options_.zones->areKnown())
         return notRun(RefusalReason::NoConfiguration, "the configuration is not known yet");
     RoutingResult result = router_->route({ received.method, received.target, received.headers });
@@ -158,6 +156,9 @@
         ? std::min(routed.objective, patience)
         : patience;
     passage.deadline = passage.arrived + patience;
+    const bool isOfRunningWork = isServersCall && !options_.gate->isIdle();
+    if (end_ && !(isOfRunningWork && passage.deadline <= *end_))
+        return notRun(RefusalReason::Stopping, "this instance is stopping");
     passage.objectiveEnd = passage.arrived + objective;
     passage.holdEnd = passage.arrived + objective / (routed.partition >= 0 ? keyedHoldPart : holdPart);
     peer::ForwardedRequest& request = passage.request;
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -60,8 +60,9 @@
     bool isIdle() const { return open_.empty(); }
     size_t openRequests() const { return open_.size(); }
 
-    // From now on new requests are refused: the process is about to end.
-    void refuseNew() { isRefusing_ = true; }
+    // From now on new requests are refused, since the process ends soon. Calls that a server makes for work
+    // of its own are still accepted where they are over before the end.
+    void refuseNew(TimePoint end) { end_ = end; }
 
     // Ends all open requests without their servers' answers; their callers are told.
     void giveUp();
@@ -106,7 +107,7 @@
 
     IngressOptions options_;
     std::shared_ptr<const Router> router_;
-    bool isRefusing_ = false;
+    std::optional<TimePoint> end_; // Of the process, once new requests are refused.
     std::map<std::string, ServerChoice> choices_; // By service.
     std::map<std::string, Candidates> candidates_; // By service.
     int64_t candidatesVersion_ = 0; // Of the directory that they were taken from.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -362,9 +362,10 @@
 void Sidecar::checkStopped()
 {
     const Duration passed = BootClock::now() - stopBegan_;
-    const bool isTimeUp = passed >= settings_.stopTime - stopMargin;
+    const Milliseconds mostTime = settings_.stopTime - stopMargin;
+    const bool isTimeUp = passed >= mostTime;
     if (passed >= leastStopTime)
-        ingress_->refuseNew();
+        ingress_->refuseNew(stopBegan_ + mostTime);
     if (isTimeUp)
         ingress_->giveUp();
     const bool isIdle = ingress_->isIdle() && gate_->isIdle();
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -29,6 +29,8 @@
                   { "action", { { "service", service }, { "timeout", "4s" }, { "maxAttempts", 2 } } } });
           };
     addRule("cards", "idempotent", "/cards/", "gallery");
+    addRule("calls", "idempotent", "/calls/", "orders");
+    rules.back()["allowAnonymous"] = true;
     if (hasOrders)
         addRule("orders", "non_idempotent", "/orders/", "orders");
     return { { "version", "r" + std::to_string(version) },
@@ -454,3 +456,27 @@
     LONGS_EQUAL(502, result->response.status);
     LONGS_EQUAL(1, runsOfAll());
 }
+
+TEST(Sidecar, AStopServesTheCallsOfItsServersWorkAndTakesNothingElseLate)
+{
+    begin({ "gallery", "orders" });
+    serverOf(0).holdAnswers(true);
+    std::optional<CallResult> result;
+    instances[0]->caller.call(
+        cardRequest(1), longTime, [&result](CallResult ended) { result = std::move(ended); });
+    CHECK(runUntil([this] { return runsOfAll() == 1; }));
+    bool isStopped = false;
+    instances[0]->sidecar->stop([&isStopped] { isStopped = true; });
+    runFor(Milliseconds(2'400));
+    HttpRequest callOfServer = orderRequest();
+    callOfServer.target = "/calls/1";
+    callOfServer.headers.erase(callOfServer.headers.begin() + 1);
+    callOfServer.headers[2].value = "500";
+    LONGS_EQUAL(200, statusOf(0, callOfServer));
+    LONGS_EQUAL(503, statusOf(0, orderRequest()));
+    LONGS_EQUAL(2, runsOfAll());
+    serverOf(0).answerHeld();
+    CHECK(runUntil([&isStopped] { return isStopped; }));
+    CHECK(result.has_value());
+    LONGS_EQUAL(200, result->response.status);
+}
