Links: a request that is cancelled while its link is dialed is not sent

Callers saw nothing of it, but servers ran requests whose callers had left: a request that is sent on while the link to the other instance is still being dialed waits there, and so did the cancel behind it. Once the link was open both went out, and a gate with a free slot had begun the request before it read the cancel. Dialing takes a TCP connect and a handshake, each with a turn of the loop at both ends, so on busy instances or after a restart it may take hundreds of milliseconds.

PeerCalls now takes the request back from the link when it is given up before the link is open; then there is nothing to cancel either. Frames wait as such and are encoded when they are sent.

--- a/src/sidecar/peercalls.cpp
+++ b/src/sidecar/peercalls.cpp
@@ -28,7 +28,7 @@
 
 void PeerCalls::cancel(const CallId& call)
 {
-    if (!take({ call.link, call.number }))
+    if (!take({ call.link, call.number }) || network_.withdrawRequest(call.link, call.number))
         return;
     peer::PeerMessage message;
     message.cancel = peer::Cancel { call.number };
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -10,6 +10,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -46,7 +47,7 @@
         std::string address; // Empty for a link that the other side dialed.
         LinkState state = LinkState::Dialing;
         Handle handle;
-        std::vector<std::string> waiting; // Encoded frames to send once open.
+        std::vector<Frame> waiting; // To be sent once open.
         TimePoint lastSent;
         TimePoint lastPing;
         TimePoint lastReceived;
@@ -118,7 +119,6 @@
 
     bool send(LinkId id, const Frame& frame)
     {
-        std::string bytes = encodeFrame(frame);
         Handle handle;
         bool isDialed = false;
         {
@@ -129,15 +129,32 @@
             Link& link = found->second;
             link.lastSent = BootClock::now();
             if (link.state == LinkState::Dialing) {
-                link.waiting.push_back(std::move(bytes));
+                link.waiting.push_back(frame);
                 return true;
             }
             handle = link.handle;
             isDialed = !link.address.empty();
         }
+        const std::string bytes = encodeFrame(frame);
         return isDialed ? sendBytes(client_, handle, bytes) : sendBytes(server_, handle, bytes);
     }
 
+    bool withdrawRequest(LinkId id, int64_t number)
+    {
+        std::lock_guard lock(mutex_);
+        const auto link = links_.find(id);
+        if (link == links_.end())
+            return false;
+        auto& waiting = link->second.waiting;
+        const auto frame = std::find_if(waiting.begin(), waiting.end(), [number](const Frame& each) {
+            return each.message.forwardedRequest && each.message.forwardedRequest->id == number;
+        });
+        if (frame == waiting.end())
+            return false;
+        waiting.erase(frame);
+        return true;
+    }
+
     bool waitForRoom(LinkId id, TimePoint deadline)
     {
         while (true) {
@@ -239,8 +256,8 @@
             return;
         Link& link = links_[id->second];
         noteReceived(link);
-        for (const std::string& bytes : link.waiting)
-            sendBytes(client_, handle, bytes);
+        for (const Frame& frame : link.waiting)
+            sendBytes(client_, handle, encodeFrame(frame));
         link.waiting.clear();
         link.state = LinkState::Open;
     }
@@ -409,6 +426,11 @@
     return impl_->send(link, frame);
 }
 
+bool PeerNetwork::withdrawRequest(LinkId link, int64_t number)
+{
+    return impl_->withdrawRequest(link, number);
+}
+
 bool PeerNetwork::waitForRoom(LinkId link, TimePoint deadline)
 {
     return impl_->waitForRoom(link, deadline);
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -54,6 +54,9 @@
     // full.
     bool send(LinkId link, const Frame& frame);
 
+    // Takes back the request of that number while it waits for its link to be dialed; false when it does not.
+    bool withdrawRequest(LinkId link, int64_t number);
+
     // Waits until the link's backlog is short, at most until `deadline`; false when it stayed long.
     bool waitForRoom(LinkId link, TimePoint deadline);
 
