Gate: what must run once is cancelled too while its server is still dialed

A request that must not run twice is left to its end when its caller leaves, since breaking it off helps nobody. That was also done while the connection to the server was still being opened: not a byte had been sent, and the request reached the server up to a second (the connect timeout) after its caller had left, ran for nobody and took a slot.

The client now says whether a call may have been sent, and the gate cancels what was not.

The test failed before: "expected <kept> but was <cancelled kept>".

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -40,6 +40,12 @@
     return id;
 }
 
+bool HttpClient::hasSent(CallId id) const
+{
+    const auto found = calls_.find(id);
+    return found != calls_.end() && found->second->hasSent();
+}
+
 void HttpClient::cancel(CallId id)
 {
     const auto found = calls_.find(id);
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -62,6 +62,9 @@
     // cancelled.
     CallId call(HttpRequest request, Duration timeout, Done done);
 
+    // Whether bytes of the request may have been sent.
+    bool hasSent(CallId id) const;
+
     // Gives the call up and closes its connection, which tells the server to stop; `done` is not called.
     void cancel(CallId id);
 
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -27,6 +27,7 @@
     void abort(const std::string& detail);
 
     bool isIdle() const { return !done_; }
+    bool hasSent() const { return hasSent_; }
     HttpClient::CallId callId() const { return callId_; }
 
     // Bytes received of the body of the present answer.
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -165,9 +165,9 @@
 {
     const auto running = running_.find(id);
     if (running != running_.end()) {
-        // What must not run twice is left to its end: breaking it off helps nobody.
+        // What must not run twice is left to its end once it was sent: breaking it off helps nobody.
         running->second.call.reply = nullptr;
-        if (!running->second.call.request.idempotent)
+        if (!running->second.call.request.idempotent && client_.hasSent(running->second.httpCall))
             return;
         client_.cancel(running->second.httpCall);
         running_.erase(running);
--- a/tests/sidecar/cancelledcalls.cpp
+++ b/tests/sidecar/cancelledcalls.cpp
@@ -166,3 +166,18 @@
     checkIds({ "kept" }, forwarded);
     checkIds({ "kept" }, runs);
 }
+
+// It must not run twice, so once it was sent it is left to its end.
+TEST(CancelledCalls, WhatWasCancelledWhileItsServerWasDialedIsNotSent)
+{
+    bool isCancelledAnswered = false;
+    bool isAnswered = false;
+    const auto id = submit("cancelled", isCancelledAnswered);
+    while (counters.counter("server_requests_total") == 0)
+        gateLoop.run_one();
+    gate.cancel(id);
+    submit("kept", isAnswered);
+    runUntil(isAnswered);
+    CHECK(!isCancelledAnswered);
+    checkIds({ "kept" }, runs);
+}
