Http: an exchange tells whether its caller has left, past what was read

A caller's leaving is told when the connection's end is read, which comes behind what the caller sent before, and on a late loop behind other work. HttpExchange::hasCallerLeft looks at the socket itself (poll for the end of the other side, one system call, without waiting), so that a request can be dropped right before it is sent on. Bytes that are still to be read do not count as leaving. Nothing uses it yet.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -34,6 +34,12 @@
         connection->flush();
 }
 
+bool HttpExchange::hasCallerLeft() const
+{
+    const auto connection = connection_.lock();
+    return !connection || connection->hasCallerLeft();
+}
+
 HttpServer::HttpServer(asio::io_context& loop, Handler handler)
     : loop_(loop)
     , acceptor_(loop)
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -37,6 +37,9 @@
     // in which they came.
     void respond(HttpResponse response);
 
+    // Whether nobody waits for the answer any more. Looks at the connection itself, past what was read of it.
+    bool hasCallerLeft() const;
+
     // Called once when the caller has left before the answer.
     void setLeaveHandler(std::function<void()> handler) { onLeave_ = std::move(handler); }
 
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -5,6 +5,8 @@
 #include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+
 #include <array>
 #include <utility>
 
@@ -245,6 +247,14 @@
     }
 }
 
+bool HttpServerConnection::hasCallerLeft()
+{
+    if (!server_)
+        return true;
+    pollfd state { socket_.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&state, 1, 0) > 0;
+}
+
 void HttpServerConnection::closeIfIdle(ConnectionEnd cause)
 {
     const auto self = shared_from_this();
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -34,6 +34,9 @@
 
     void close(ConnectionEnd cause);
 
+    // Whether the caller has closed the connection or it broke, even if that was not read yet.
+    bool hasCallerLeft();
+
     // An exchange was given its answer.
     void flush();
 
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -165,6 +165,16 @@
     CHECK(runUntil(loop, [&hasLeft] { return hasLeft; }));
 }
 
+TEST(HttpServer, ACallersLeavingIsSeenBehindWhatWasNotReadYet)
+{
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(runUntil(loop, [this] { return exchanges.size() == 1; }));
+    caller.send("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\npart");
+    CHECK(!exchanges[0]->hasCallerLeft());
+    caller.close();
+    CHECK(exchanges[0]->hasCallerLeft());
+}
+
 TEST(HttpServer, LimitsAreKept)
 {
     HttpServerLimits limits;
