Ingress: a request whose caller has left is not sent on by a late loop

Servers ran requests for nobody. When the loop is late, a request and its caller's leaving lie in the socket together, and the same holds for all requests that were sent ahead on one connection: the loop read them, sent them on, and only the next read told of the end. A caller that gives up because its request was not read leaves just such a socket behind, so one connection can give several requests that are sent on in vain.

Each request's connection is looked at right before it is sent on, also when it waited for tokens or an owner, or is sent again.

The test, two requests ahead on a closed connection at each of two instances, failed before: "expected <2 (0x2)> but was <6 (0x6)>" runs.

--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -291,6 +291,9 @@
 
 void Ingress::send(const PassagePtr& passage, const Target& target)
 {
+    // On a late loop the leaving may have arrived without having been read.
+    if (passage->exchange->hasCallerLeft())
+        return callerLeft(passage);
     const TimePoint now = BootClock::now();
     peer::ForwardedRequest request = passage->request;
     request.timeoutMs = std::max<int64_t>(1, toMilliseconds(passage->deadline - now).count());
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -6,6 +6,8 @@
 #include "standins/faultproxy.h"
 #include "standins/loopback.h"
 
+#include <asio/write.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace persimmonfield;
@@ -406,6 +408,21 @@
     LONGS_EQUAL(200, statusOf(1, cardRequest(1)));
 }
 
+// The request and its caller's leaving have both arrived before the loop looks at the connection.
+TEST(Sidecar, ARequestWhoseCallerHasLeftIsNotSentOn)
+{
+    begin({ "gallery", "orders" });
+    for (const auto& instance : instances) {
+        asio::ip::tcp::socket caller(loop);
+        const Address& address = instance->settings.callerAddress;
+        caller.connect({ asio::ip::make_address(address.host), static_cast<uint16_t>(address.port) });
+        asio::write(caller, asio::buffer(encodeRequest(orderRequest()) + encodeRequest(orderRequest())));
+    }
+    for (const int entrance : { 0, 1 })
+        LONGS_EQUAL(200, statusOf(entrance, orderRequest()));
+    LONGS_EQUAL(2, runsOfAll());
+}
+
 TEST(Sidecar, APlannedStopCutsNoRequest)
 {
     begin({ "orders", "orders" });
