Gate: what cannot end before the process does is refused

Callers of other instances got 502 for requests that the gate of a stopping instance had taken shortly before the end of its process: it took requests until the last moment, and those that ran then were cut with their links.

The gate now knows when the process ends, and refuses as not run (stopping) what is not expected to end before, by the usual work of its route and the wait for a slot: on arrival, and again when it leaves the queue. What waits is refused once it would start too late. Requests that can end in time are served as before, so keys that nobody else has yet go on being served.

The test has requests of 600 ms sent to a stopping instance every 500 ms until its process ends. Before, one of them was cut:

LONGS_EQUAL(0, std::count(statuses.begin(), statuses.end(), 502)) failed expected <0 (0x0)> but was <1 (0x1)>

--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -27,6 +27,7 @@
     constexpr size_t largestAnswer = largestFrame - roomForHead;
     constexpr size_t answersTogether = 16UL * 1024 * 1024;
     constexpr double wholePercent = 100;
+    constexpr const char* stoppingDetail = "the instance ends before the request would";
 
     HttpClientOptions clientOptions(const ServerGateOptions& options)
     {
@@ -70,6 +71,12 @@
     startWaiting();
 }
 
+void ServerGate::stopBy(TimePoint end)
+{
+    end_ = end;
+    startWaiting();
+}
+
 peer::ServerLoad ServerGate::load(TimePoint now) const
 {
     peer::ServerLoad load = reportedLoad_;
@@ -82,9 +89,17 @@
     return load;
 }
 
+// Whether the process is expected to end before a request that starts then.
+bool ServerGate::wouldBeCut(const GateCall& call, TimePoint start) const
+{
+    return start + std::max(Duration::zero(), expectedWork(call, start)) >= end_;
+}
+
 // Why the request may not run here at all; nothing when it may.
 std::optional<Reply> ServerGate::refusal(const GateCall& call, TimePoint now) const
 {
+    if (wouldBeCut(call, now))
+        return notRun(RefusalReason::Stopping, stoppingDetail);
     if (!server_ || server_->service != call.request.service)
         return notRun(RefusalReason::ServerUnreachable, "no server of the service is here");
     if (now < unreachableUntil_)
@@ -156,6 +171,10 @@
                 toMilliseconds(wait)));
         return id;
     }
+    if (wouldBeCut(call, now + wait)) {
+        answer(call, notRun(RefusalReason::Stopping, stoppingDetail));
+        return id;
+    }
     waiting_.emplace(rank, std::move(call));
     startWaiting();
     return id;
@@ -223,14 +242,15 @@
     noteBusyness(now);
 }
 
-// What waits in the queue must not be kept past its objective.
+// What waits in the queue must not be kept past its objective, nor past the end of the process.
 void ServerGate::refuseOverdue(TimePoint now)
 {
     std::vector<GateCall> overdue;
     TimePoint next = TimePoint::max();
     for (auto entry = waiting_.begin(); entry != waiting_.end();) {
         const GateCall& call = entry->second;
-        const TimePoint end = std::min(call.objectiveEnd, call.deadline) - expectedWork(call.request.route);
+        const TimePoint end
+            = std::min({ call.objectiveEnd, call.deadline, end_ }) - expectedWork(call.request.route);
         if (!server_ || end <= now) {
             overdue.push_back(std::move(entry->second));
             entry = waiting_.erase(entry);
@@ -242,7 +262,9 @@
     if (next != TimePoint::max())
         armTimer(next);
     for (const GateCall& call : overdue)
-        answer(call, notRun(RefusalReason::QueueTimeout, "waited too long for the server"));
+        answer(call,
+            wouldBeCut(call, now) ? notRun(RefusalReason::Stopping, stoppingDetail)
+                                  : notRun(RefusalReason::QueueTimeout, "waited too long for the server"));
 }
 
 void ServerGate::armTimer(TimePoint at)
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -71,6 +71,8 @@
 
     // Nothing when there is no server, or none that is known to live.
     void setServer(std::optional<GatedServer> server);
+    // The process ends then: what is not expected to end before is refused.
+    void stopBy(TimePoint end);
     // Requests a second that the server bears while cold; 0 for any number.
     void setColdRate(double perSecond) { coldRate_ = perSecond; }
 
@@ -102,6 +104,7 @@
     };
 
     std::optional<Reply> refusal(const GateCall& call, TimePoint now) const;
+    bool wouldBeCut(const GateCall& call, TimePoint start) const;
     Duration expectedWork(const std::string& route) const;
     Duration expectedWork(const GateCall& call, TimePoint now) const;
     Duration expectedWait(const Rank& rank, TimePoint now) const;
@@ -126,6 +129,7 @@
     std::optional<GatedServer> server_;
     double coldRate_ = 0;
     TimePoint unreachableUntil_;
+    TimePoint end_ = TimePoint::max(); // Of the process.
     CallId nextId_ = 1;
     std::map<Rank, GateCall> waiting_;
     std::map<CallId, Running> running_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -355,6 +355,7 @@
     onStopped_ = std::move(done);
     stopBegan_ = BootClock::now();
     callers_.drain();
+    gate_->stopBy(stopBegan_ + settings_.stopTime - stopMargin);
     publishEntry();
     checkStopped();
 }
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -10,6 +10,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace persimmonfield;
 
 namespace {
@@ -33,6 +35,7 @@
     addRule("cards", "idempotent", "/cards/", "gallery");
     addRule("calls", "idempotent", "/calls/", "orders");
     rules.back()["allowAnonymous"] = true;
+    addRule("albums", "non_idempotent", "/albums/", "gallery");
     if (hasOrders)
         addRule("orders", "non_idempotent", "/orders/", "orders");
     return { { "version", "r" + std::to_string(version) },
@@ -60,11 +63,15 @@
     return settings;
 }
 
-// An instance: its server and the sidecar beside it.
+// An instance: its server and the sidecar beside it, which has a loop of its own where its process is to end.
 struct Instance {
-    Instance(asio::io_context& loop, int index, const std::string& service)
+    Instance(asio::io_context& loop, int index, const std::string& service, bool hasOwnLoop = false)
         : settings(settingsOf(index, service))
-        , sidecar(Sidecar::Builder().setSettings(settings).setEdges(platform::platformEdges()).build(loop))
+        , process(hasOwnLoop ? std::make_unique<asio::io_context>(1) : nullptr)
+        , sidecar(Sidecar::Builder()
+                      .setSettings(settings)
+                      .setEdges(platform::platformEdges())
+                      .build(process ? *process : loop))
         , caller(loop, { settings.callerAddress, Milliseconds(1'000), Milliseconds(5'000), false, {} })
     {
         if (!sidecar->start().ok())
@@ -73,7 +80,15 @@
             loop, "server-" + settings.name, service, settings.serverAddress, settings.reportAddress);
     }
 
+    // All its sockets are closed, read or not.
+    void endProcess()
+    {
+        sidecar.reset();
+        process.reset();
+    }
+
     SidecarSettings settings;
+    std::unique_ptr<asio::io_context> process;
     std::unique_ptr<Sidecar> sidecar;
     std::unique_ptr<StandInServer> server;
     HttpClient caller;
@@ -94,11 +109,12 @@
         store->put("config", "main", configuration(1));
     }
 
-    void begin(const std::vector<std::string>& services)
+    void begin(const std::vector<std::string>& services, bool mayFirstEnd = false)
     {
-        for (const std::string& service : services)
-            instances.push_back(
-                std::make_unique<Instance>(loop, static_cast<int>(instances.size()), service));
+        for (const std::string& service : services) {
+            const auto index = static_cast<int>(instances.size());
+            instances.push_back(std::make_unique<Instance>(loop, index, service, mayFirstEnd && index == 0));
+        }
         CHECK(runUntil([this] { return isServing(); }));
     }
 
@@ -119,12 +135,44 @@
         while (!condition()) {
             if (BootClock::now() >= end)
                 return false;
+            bool hasProcesses = false;
+            for (const auto& instance : instances) {
+                if (!instance->process)
+                    continue;
+                hasProcesses = true;
+                instance->process->restart();
+                instance->process->poll();
+            }
             loop.restart();
-            loop.run_one_for(Milliseconds(20));
+            loop.run_one_for(Milliseconds(hasProcesses ? 1 : 20));
         }
         return true;
     }
 
+    // Stops the first instance and ends its process then, while callers of the second one send requests at a
+    // steady rate; returns the statuses of their answers.
+    std::vector<int> statusesWhileTheFirstStops(Milliseconds firstAfter, Milliseconds interval)
+    {
+        std::vector<int> statuses;
+        size_t sent = 0;
+        const TimePoint began = BootClock::now();
+        bool isStopped = false;
+        instances[0]->sidecar->stop([&isStopped] { isStopped = true; });
+        const auto sendDue = [&] {
+            for (; BootClock::now() >= began + firstAfter + interval * static_cast<int64_t>(sent); ++sent)
+                instances[1]->caller.call(albumRequest(), longTime, [&statuses](const CallResult& result) {
+                    statuses.push_back(result.outcome == CallOutcome::Answered ? result.response.status : 0);
+                });
+        };
+        CHECK(runUntil([&] {
+            sendDue();
+            return isStopped;
+        }));
+        instances[0]->endProcess();
+        CHECK(runUntil([&] { return statuses.size() == sent; }));
+        return statuses;
+    }
+
     void runFor(Milliseconds time)
     {
         const TimePoint until = BootClock::now() + time;
@@ -151,6 +199,15 @@
         return request;
     }
 
+    // For the first key, which must run once.
+    HttpRequest albumRequest()
+    {
+        HttpRequest request = cardRequest(0);
+        request.method = "POST";
+        request.target = "/albums/1";
+        return request;
+    }
+
     CallResult call(int index, const HttpRequest& request)
     {
         std::optional<CallResult> result;
@@ -497,3 +554,14 @@
     CHECK(result.has_value());
     LONGS_EQUAL(200, result->response.status);
 }
+
+TEST(Sidecar, ARequestThatCannotEndBeforeItsInstanceDoesIsRefusedAndNotCut)
+{
+    begin({ "gallery", "orders" }, true);
+    serverOf(0).setWorkTime(Milliseconds(600));
+    LONGS_EQUAL(200, statusOf(1, albumRequest()));
+    const auto statuses = statusesWhileTheFirstStops(Milliseconds(0), Milliseconds(500));
+    LONGS_EQUAL(0, std::count(statuses.begin(), statuses.end(), 502));
+    LONGS_EQUAL(200, statuses.front());
+    LONGS_EQUAL(503, statuses.back());
+}
