Sidecar: a stopping instance says so on its links

Other instances learned only from the store that an instance stops: paced by up to 2 s, and not at all while the store is away. Until then they chose its server, and what they sent it last was cut or had to be sent again.

On the signal to stop an instance now tells it (departure) on each open link, and on those that are opened later. The directory marks the entry, for that incarnation only: an entry written before it that the store shows later does not undo the mark, and the next incarnation begins without it.

The test takes the store away and stops an instance, then sends 20 requests through another one. Before, the server beside the stopping instance went on getting them:

LONGS_EQUAL(before, serverOf(0).runs().size()) failed expected <1 (0x1)> but was <5 (0x5)>

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -89,7 +89,8 @@
           [this](LinkId link, bool wasOpen) {
               forwarder_.onClosed(link, wasOpen);
               gateway_.onClosed(link);
-          } })
+          },
+          nullptr })
     , gate_({ addresses.server, static_cast<int>(settings_.serverSlots), settings_.serverChecksFences,
           &authority_, &counters_, &timeline_, nullptr })
     , gateway_({ &gate_, &network_, &counters_ })
--- a/src/sidecar/fleetdirectory.cpp
+++ b/src/sidecar/fleetdirectory.cpp
@@ -66,6 +66,8 @@
         for (auto table = tables_.begin(); table != tables_.end();)
             table = isGone(keyTableObjectName(table->first), table->second.revision) ? tables_.erase(table)
                                                                                      : std::next(table);
+        for (auto departure = departures_.begin(); departure != departures_.end();)
+            departure = instance(departure->first) ? std::next(departure) : departures_.erase(departure);
         isLoaded_ = true;
     }
     for (const StoreObject& object : page.objects)
@@ -76,10 +78,36 @@
 {
     const std::string instances = instancePrefix;
     const std::string tables = keyTablePrefix;
-    if (absl::StartsWith(object.name, instances))
-        take(instances_, object.name.substr(instances.size()), object);
-    else if (absl::StartsWith(object.name, tables))
+    if (absl::StartsWith(object.name, instances)) {
+        const std::string name = object.name.substr(instances.size());
+        take(instances_, name, object);
+        markDeparture(name);
+    } else if (absl::StartsWith(object.name, tables)) {
         take(tables_, object.name.substr(tables.size()), object);
+    }
+}
+
+bool FleetDirectory::noteDeparture(const std::string& name, const std::string& incarnation)
+{
+    departures_[name] = incarnation;
+    if (!markDeparture(name))
+        return false;
+    ++version_;
+    return true;
+}
+
+// Whether the entry has changed.
+bool FleetDirectory::markDeparture(const std::string& name)
+{
+    const auto departure = departures_.find(name);
+    const auto entry = instances_.find(name);
+    if (departure == departures_.end() || entry == instances_.end())
+        return false;
+    stored::InstanceEntry& instance = entry->second.value;
+    if (instance.departing || instance.incarnation != departure->second)
+        return false;
+    instance.departing = true;
+    return true;
 }
 
 const stored::InstanceEntry* FleetDirectory::instance(const std::string& name) const
--- a/src/sidecar/fleetdirectory.h
+++ b/src/sidecar/fleetdirectory.h
@@ -33,6 +33,10 @@
     // name nobody and are logged. Older copies than the known ones are passed over.
     void apply(const StorePage& page, bool isWhole);
 
+    // The instance has said itself that it stops, which its entry in the store may not show yet. False when
+    // that was known, or when its entry is of another incarnation.
+    bool noteDeparture(const std::string& name, const std::string& incarnation);
+
     const Instances& instances() const { return instances_; }
     const stored::InstanceEntry* instance(const std::string& name) const;
     const Versioned<stored::KeyTable>* keyTable(const std::string& service) const;
@@ -54,8 +58,10 @@
 
 private:
     void applyObject(const StoreObject& object);
+    bool markDeparture(const std::string& name);
 
     Instances instances_;
+    std::map<std::string, std::string> departures_; // The incarnations that said so, by instance.
     std::map<std::string, Versioned<stored::KeyTable>> tables_; // By service.
     bool isLoaded_ = false;
     int64_t version_ = 1;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -96,7 +96,9 @@
         peerGate_->onClosed(link);
         relay_->onClosed(link);
     };
+    options.onAccepted = [this](LinkId link) { farewell_->onAccepted(link); };
     network_ = std::make_unique<PeerNetwork>(std::move(options));
+    farewell_ = std::make_unique<Farewell>(*network_, settings_.name, incarnation_);
     relay_ = std::make_unique<StoreRelay>(loop_, settings_.name, directory_, *network_, transport_);
     peers_ = std::make_unique<PeerCalls>(*network_);
     peerGate_ = std::make_unique<PeerGate>(*gate_, *network_);
@@ -325,10 +327,20 @@
         limits_->onShareGrant(*message.shareGrant);
     else if (message.storeChange)
         store_.hurryWatch(message.storeChange->kind, message.storeChange->revision);
+    else if (message.departure)
+        onDeparture(*message.departure);
     else
         log(LogLevel::Warning, "frame-unexpected", { { "link", link } });
 }
 
+void Sidecar::onDeparture(const peer::Departure& departure)
+{
+    if (!directory_.noteDeparture(departure.instance, departure.incarnation))
+        return;
+    log(LogLevel::Info, "instance-departs", { { "instance", departure.instance } });
+    onDirectoryChange();
+}
+
 void Sidecar::answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const
 {
     const bool isReady
@@ -357,6 +369,7 @@
     callers_.drain();
     gate_->stopBy(stopBegan_ + settings_.stopTime - stopMargin);
     publishEntry();
+    farewell_->announce();
     checkStopped();
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -5,6 +5,7 @@
 #include "sidecar/configurationkeeper.h"
 #include "sidecar/edges.h"
 #include "sidecar/entryduty.h"
+#include "sidecar/farewell.h"
 #include "sidecar/fleetdirectory.h"
 #include "sidecar/ingress.h"
 #include "sidecar/keyduty.h"
@@ -68,6 +69,7 @@
     void notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision);
     void tellOfChange(const std::string& kind, int64_t revision);
     void onFrame(LinkId link, Frame frame);
+    void onDeparture(const peer::Departure& departure);
     void answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const;
     void answerMetrics(const std::shared_ptr<HttpExchange>& exchange) const;
     void answerKeys(const ServerReport& report, const KeysDone& done);
@@ -94,6 +96,7 @@
     std::unique_ptr<ServerDuty> server_;
     std::unique_ptr<EntryDuty> entry_;
     std::unique_ptr<Ingress> ingress_;
+    std::unique_ptr<Farewell> farewell_;
     HttpServer callers_;
     HttpServer reports_;
     HttpServer readiness_;
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -155,6 +155,17 @@
         return true;
     }
 
+    std::vector<LinkId> openLinks() const
+    {
+        std::lock_guard lock(mutex_);
+        std::vector<LinkId> open;
+        for (const auto& [id, link] : links_) {
+            if (link.state == LinkState::Open)
+                open.push_back(id);
+        }
+        return open;
+    }
+
     bool waitForRoom(LinkId id, TimePoint deadline)
     {
         while (true) {
@@ -244,8 +255,13 @@
 
     void accept(const Handle& handle)
     {
-        std::lock_guard lock(mutex_);
-        addLink(handle, {}, LinkState::Open);
+        LinkId id = 0;
+        {
+            std::lock_guard lock(mutex_);
+            id = addLink(handle, {}, LinkState::Open);
+        }
+        if (options_.onAccepted)
+            options_.onAccepted(id);
     }
 
     void opened(const Handle& handle)
@@ -378,7 +394,7 @@
     Server server_;
     std::thread thread_;
     std::atomic<bool> isStarted_ { false };
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     LinkId nextId_ = 1;
     std::unordered_map<LinkId, Link> links_;
     std::unordered_map<std::string, LinkId> byAddress_;
@@ -431,6 +447,11 @@
     return impl_->withdrawRequest(link, number);
 }
 
+std::vector<LinkId> PeerNetwork::openLinks() const
+{
+    return impl_->openLinks();
+}
+
 bool PeerNetwork::waitForRoom(LinkId link, TimePoint deadline)
 {
     return impl_->waitForRoom(link, deadline);
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace persimmonfield {
 
@@ -26,6 +27,7 @@
     // Called on the network's own thread; must not block.
     std::function<void(LinkId link, Frame frame)> onFrame;
     std::function<void(LinkId link, bool wasOpen)> onClosed; // A link never open carried nothing.
+    std::function<void(LinkId link)> onAccepted; // May be null.
 };
 
 // The connections to other daemons: listens, dials on demand, notices silent connections and hands over whole
@@ -56,6 +58,8 @@
 
     // Takes back the request of that number while it waits for its link to be dialed; false when it does not.
     bool withdrawRequest(LinkId link, int64_t number);
+    // The links that are open, whoever dialed them.
+    std::vector<LinkId> openLinks() const;
 
     // Waits until the link's backlog is short, at most until `deadline`; false when it stayed long.
     bool waitForRoom(LinkId link, TimePoint deadline);
--- /dev/null
+++ b/tests/sidecar/fleetdirectory.cpp
@@ -0,0 +1,48 @@
+// The copy of the fleet's objects: what instances say of themselves before the store shows it.
+
+#include "sidecar/fleetdirectory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+TEST_GROUP(FleetDirectory)
+{
+    FleetDirectory directory;
+
+    void apply(int64_t revision, const std::string& incarnation, bool isDeleted = false)
+    {
+        stored::InstanceEntry entry {};
+        entry.name = "i0";
+        entry.incarnation = incarnation;
+        StoreObject object;
+        object.kind = fleetKind;
+        object.name = instanceObjectName("i0");
+        object.value = entry;
+        object.revision = revision;
+        object.isDeleted = isDeleted;
+        directory.apply({ { object }, false, revision }, false);
+    }
+};
+
+TEST(FleetDirectory, ADepartureIsNotForgottenWithAnEntryThatWasWrittenBeforeIt)
+{
+    apply(1, "a");
+    const int64_t version = directory.version();
+    CHECK(directory.noteDeparture("i0", "a"));
+    CHECK(directory.version() > version);
+    CHECK(!directory.noteDeparture("i0", "a"));
+    apply(2, "a");
+    CHECK(directory.instance("i0")->departing);
+}
+
+TEST(FleetDirectory, ADepartureHoldsForItsIncarnationOnly)
+{
+    apply(1, "a");
+    CHECK(!directory.noteDeparture("i0", "b"));
+    CHECK(!directory.instance("i0")->departing);
+    apply(2, "b");
+    CHECK(directory.instance("i0")->departing);
+    apply(3, "c");
+    CHECK(!directory.instance("i0")->departing);
+}
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -565,3 +565,20 @@
     LONGS_EQUAL(200, statuses.front());
     LONGS_EQUAL(503, statuses.back());
 }
+
+TEST(Sidecar, AStoppingInstanceIsNotChosenByThoseThatCannotReadTheStore)
+{
+    FaultProxy storeProxy(loop, proxiedStoreAddress, storeAddress);
+    begin({ "orders", "orders", "gallery" });
+    CHECK(runUntil([this] {
+        LONGS_EQUAL(200, statusOf(2, orderRequest()));
+        return !serverOf(0).runs().empty();
+    }));
+    store->setDown(true);
+    instances[0]->sidecar->stop([] {});
+    runFor(Milliseconds(200));
+    const size_t before = serverOf(0).runs().size();
+    for (int i = 0; i < 20; ++i)
+        LONGS_EQUAL(200, statusOf(2, orderRequest()));
+    LONGS_EQUAL(before, serverOf(0).runs().size());
+}
