--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -58,6 +58,7 @@
 
     // Takes back the request of that number while it waits for its link to be dialed; false when it does not.
     bool withdrawRequest(LinkId link, int64_t number);
+
     // The links that are open, whoever dialed them.
     std::vector<LinkId> openLinks() const;
 
