HTTP client: a kept connection is looked at before it is used again

Callers were told "not run" for requests that their server ran, when a faulty server had written an earlier refusal once more: the connection was taken from the idle ones by what had been handled on it, not by what had arrived. Bytes that lay in the socket, or in a read that had completed and whose handler was still queued, were taken for the answer to the request that was written after them. A connection that the server had closed, its end not handled yet, was written to as well: a request that must run once then ended with an unknown outcome though it could have gone over another connection.

An idle connection now waits for bytes without taking them from the socket, and a call that is to use it looks into the socket first. Whatever is there, bytes, the end or an error, came before the request; the connection is closed and another is used.

The peek takes the place of a read that found nothing; the wait adds an epoll_ctl, and an epoll_pwait that returns at once.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -27,13 +27,9 @@
 {
     if (!request.header("Host"))
         request.headers.push_back({ "Host", options_.address.text() });
-    std::shared_ptr<HttpClientConnection> connection;
-    if (idle_.empty()) {
+    std::shared_ptr<HttpClientConnection> connection = takeIdle();
+    if (!connection)
         connection = std::make_shared<HttpClientConnection>(*this);
-    } else {
-        connection = idle_.front();
-        idle_.pop_front();
-    }
     const CallId id = nextId_++;
     calls_[id] = connection;
     connection->start(id, std::move(request), timeout, std::move(done));
@@ -46,6 +42,18 @@
     return found != calls_.end() && found->second->hasSent();
 }
 
+std::shared_ptr<HttpClientConnection> HttpClient::takeIdle()
+{
+    while (!idle_.empty()) {
+        auto connection = idle_.front();
+        idle_.pop_front();
+        if (connection->isQuiet())
+            return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
 void HttpClient::cancel(CallId id)
 {
     const auto found = calls_.find(id);
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -47,7 +47,8 @@
 };
 
 // Calls to one server over kept connections, one request at a time on each, driven by one event loop. A
-// connection with bytes left over, a late or foreign answer or a broken one is never used again.
+// connection with bytes left over, a late or foreign answer or a broken one is never used again, and one that
+// is used again is looked at first: what came before the request was sent, even its end, answers nothing.
 class HttpClient {
 public:
     using Done = std::function<void(CallResult result)>;
@@ -79,6 +80,8 @@
 private:
     friend class HttpClientConnection;
 
+    // The kept connection to use next; null when there is none.
+    std::shared_ptr<HttpClientConnection> takeIdle();
     void release(const std::shared_ptr<HttpClientConnection>& connection);
     void forget(const HttpClientConnection& connection);
     void limitBodies();
--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -84,6 +84,7 @@
         self->isConnected_ = true;
         std::error_code ignored;
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->socket_.non_blocking(true, ignored);
         if (self->client_->options_.noticesSilence)
             probeSilence(self->socket_);
         self->write();
@@ -126,11 +127,33 @@
         });
 }
 
+// Leaves in the socket what comes while no call is under way, where isQuiet() sees it before it is handled.
+void HttpClientConnection::awaitBytes()
+{
+    isReading_ = true;
+    socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+        self->isReading_ = false;
+        if (!self->client_)
+            return;
+        // What comes on an idle connection belongs to no request.
+        if (self->isIdle())
+            return self->close();
+        if (error)
+            return self->received(error, 0);
+        self->read();
+    });
+}
+
+bool HttpClientConnection::isQuiet()
+{
+    std::error_code error;
+    char byte = 0;
+    socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
 void HttpClientConnection::received(std::error_code error, size_t size)
 {
-    // Bytes on an idle connection belong to no request.
-    if (isIdle())
-        return close();
     if (error)
         return ended(error);
     buffer_.append(chunk_.data(), size);
@@ -217,7 +240,7 @@
     if (outcome == CallOutcome::Answered && !isTainted_) {
         client_->release(self);
         armIdle();
-        read();
+        awaitBytes();
     } else {
         if (outcome != CallOutcome::Answered && client_->options_.noticesSilence)
             client_->closeIdle();
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -28,6 +28,10 @@
 
     bool isIdle() const { return !done_; }
     bool hasSent() const { return hasSent_; }
+
+    // Whether nothing is there to be read, neither bytes nor the connection's end, handled or not.
+    bool isQuiet();
+
     HttpClient::CallId callId() const { return callId_; }
 
     // Bytes received of the body of the present answer.
@@ -39,6 +43,7 @@
     void connect();
     void write();
     void read();
+    void awaitBytes();
     void received(std::error_code error, size_t size);
     void parse();
     void ended(std::error_code error);
--- /dev/null
+++ b/tests/standins/scriptedserver.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "base/address.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
+#include <array>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+
+// A connection of the scripted server.
+class ScriptedConnection : public std::enable_shared_from_this<ScriptedConnection> {
+public:
+    using Handler = std::function<void(ScriptedConnection& connection, const std::string& request)>;
+
+    ScriptedConnection(asio::ip::tcp::socket socket, Handler handler)
+        : socket_(std::move(socket))
+        , handler_(std::move(handler))
+    {
+    }
+
+    void read()
+    {
+        socket_.async_read_some(
+            asio::buffer(chunk_), [self = shared_from_this()](std::error_code error, size_t size) {
+                self->buffer_.append(self->chunk_.data(), size);
+                self->takeRequests();
+                if (!error)
+                    return self->read();
+                self->isClosed_ = true;
+                self->socket_.close(error);
+            });
+    }
+
+    void send(const std::string& bytes)
+    {
+        std::error_code ignored;
+        asio::write(socket_, asio::buffer(bytes), ignored);
+    }
+
+    // Sends nothing more, which the other side reads as the end.
+    void end()
+    {
+        std::error_code ignored;
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        hasEnded_ = true;
+    }
+
+    void reset()
+    {
+        std::error_code ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+        isClosed_ = true;
+    }
+
+    // Whether all that was sent, and the end, is in the other side's socket.
+    bool hasArrived()
+    {
+        int unacknowledged = 0;
+        tcp_info info {};
+        socklen_t size = sizeof(info);
+        ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged);
+        getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+        return unacknowledged == 0 && (!hasEnded_ || info.tcpi_state == TCP_FIN_WAIT2);
+    }
+
+    bool isClosed() const { return isClosed_; }
+    const std::vector<std::string>& requests() const { return requests_; }
+
+private:
+    // Bytes of the first request of the buffer; 0 while it is not whole.
+    size_t requestSize() const
+    {
+        static const std::string lengthField = "Content-Length: ";
+        const size_t headEnd = buffer_.find("\r\n\r\n");
+        if (headEnd == std::string::npos)
+            return 0;
+        const size_t field = buffer_.find(lengthField);
+        const size_t body
+            = field < headEnd ? std::strtoul(buffer_.c_str() + field + lengthField.size(), nullptr, 10) : 0;
+        const size_t size = headEnd + 4 + body;
+        return buffer_.size() < size ? 0 : size;
+    }
+
+    void takeRequests()
+    {
+        while (const size_t size = requestSize()) {
+            requests_.push_back(buffer_.substr(0, size));
+            buffer_.erase(0, size);
+            handler_(*this, std::string(requests_.back()));
+        }
+    }
+
+    asio::ip::tcp::socket socket_;
+    Handler handler_;
+    std::array<char, 4'096> chunk_ {};
+    std::string buffer_;
+    std::vector<std::string> requests_;
+    bool hasEnded_ = false;
+    bool isClosed_ = false;
+};
+
+// A server on loopback that says, byte by byte, what a test tells it to say.
+class ScriptedServer {
+public:
+    using Connection = std::shared_ptr<ScriptedConnection>;
+
+    ScriptedServer(asio::io_context& loop, const Address& address, ScriptedConnection::Handler handler)
+        : acceptor_(loop, { asio::ip::make_address(address.host), static_cast<uint16_t>(address.port) })
+        , handler_(std::move(handler))
+    {
+        accept();
+    }
+
+    const std::vector<Connection>& connections() const { return connections_; }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](std::error_code error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            connections_.push_back(std::make_shared<ScriptedConnection>(std::move(socket), handler_));
+            connections_.back()->read();
+            accept();
+        });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    ScriptedConnection::Handler handler_;
+    std::vector<Connection> connections_;
+};
+
+}
