Tests: answers of servers that are cut at each of their bytes

Callers were reported to get a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its answer's head and closed. Through whole instances, over a link and without one, a cut answer is 502 to what must run once, and another server is asked what may be repeated.

What a client cannot see stays: a body without a length that its server cuts and ends in order.

--- /dev/null
+++ b/tests/sidecar/serveranswers.cpp
@@ -0,0 +1,193 @@
+// What callers get for a server's answers that are cut or cannot be told apart, whole sidecars on loopback.
+
+#include "platformedges.h"
+#include "sidecar/sidecar.h"
+#include "standins/loopback.h"
+#include "standins/scriptedserver.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace persimmonfield;
+
+namespace {
+
+constexpr Milliseconds longTime { 20'000 };
+constexpr int firstPort = 18'860;
+constexpr int portsPerInstance = 10;
+const Address storeAddress { "127.0.0.1", 18'899 };
+
+nlohmann::json configuration()
+{
+    nlohmann::json rules = nlohmann::json::array();
+    const auto addRule = [&rules](const char* name, const char* type, const char* service) {
+        rules.push_back({ { "name", name }, { "type", type }, { "targetLatency", "2s" }, { "priority", 1 },
+            { "match", { { "pathPrefix", "/" + std::string(name) + "/" } } },
+            { "action", { { "service", service }, { "timeout", "4s" }, { "maxAttempts", 2 } } } });
+    };
+    addRule("orders", "non_idempotent", "orders");
+    addRule("views", "idempotent", "orders");
+    return { { "version", "r1" }, { "listeners", { { { "host", "h" }, { "routingRules", rules } } } },
+        { "clusters", { { { "name", "orders" } }, { { "name", "none" } } } } };
+}
+
+SidecarSettings settingsOf(int index, const std::string& service)
+{
+    const int port = firstPort + index * portsPerInstance;
+    SidecarSettings settings;
+    settings.name = "i" + std::to_string(index);
+    settings.zone = "zone-" + std::to_string(index);
+    settings.service = service;
+    settings.callerAddress = { "127.0.0.1", port };
+    settings.reportAddress = { "127.0.0.1", port + 1 };
+    settings.readinessAddress = { "127.0.0.1", port + 2 };
+    settings.peerAddress = { "127.0.0.1", port + 3 };
+    settings.serverAddress = { "127.0.0.1", port + 4 };
+    settings.storeAddress = storeAddress;
+    settings.reportInterval = Milliseconds(300);
+    settings.reportPatience = longTime;
+    return settings;
+}
+
+std::string idOf(const std::string& request)
+{
+    static const std::string field = "Persimmonfield-Request-Id: ";
+    const size_t begin = request.find(field) + field.size();
+    return request.substr(begin, request.find('\r', begin) - begin);
+}
+
+// An instance beside a server whose answers a test scripts; a stand-in sends the server's reports.
+struct Instance {
+    Instance(
+        asio::io_context& loop, int index, const std::string& service, ScriptedConnection::Handler handler)
+        : settings(settingsOf(index, service))
+        , server(loop, settings.serverAddress, std::move(handler))
+        , sidecar(Sidecar::Builder().setSettings(settings).setEdges(platform::platformEdges()).build(loop))
+        , caller(loop, { settings.callerAddress, Milliseconds(1'000), Milliseconds(5'000), false, {} })
+    {
+        if (!sidecar->start().ok())
+            std::abort();
+        reporter = std::make_unique<StandInServer>(loop, "server-" + settings.name, service,
+            Address { settings.serverAddress.host, settings.serverAddress.port + 1 }, settings.reportAddress);
+    }
+
+    SidecarSettings settings;
+    ScriptedServer server;
+    std::unique_ptr<Sidecar> sidecar;
+    std::unique_ptr<StandInServer> reporter;
+    HttpClient caller;
+};
+
+}
+
+TEST_GROUP(ServerAnswers)
+{
+    asio::io_context loop { 1 };
+    std::unique_ptr<StandInStore> store;
+    std::vector<std::unique_ptr<Instance>> instances;
+    int64_t requests = 0;
+
+    void setup() override
+    {
+        store = std::make_unique<StandInStore>(loop, storeAddress);
+        store->put("config", "main", configuration());
+    }
+
+    void add(const std::string& service, ScriptedConnection::Handler handler)
+    {
+        instances.push_back(std::make_unique<Instance>(
+            loop, static_cast<int>(instances.size()), service, std::move(handler)));
+    }
+
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const TimePoint end = BootClock::now() + longTime;
+        while (!condition()) {
+            if (BootClock::now() >= end)
+                return false;
+            loop.restart();
+            loop.run_one_for(Milliseconds(20));
+        }
+        return true;
+    }
+
+    HttpRequest requestFor(const std::string& method, const std::string& target)
+    {
+        HttpRequest request { method, target, {}, method == "POST" ? "order" : "" };
+        request.headers
+            = { { "Host", "h" }, { "Persimmonfield-Request-Id", "r" + std::to_string(++requests) },
+                  { "Persimmonfield-Deadline-Ms", "4000" } };
+        return request;
+    }
+
+    CallResult call(size_t index, const HttpRequest& request)
+    {
+        std::optional<CallResult> result;
+        instances[index]->caller.call(
+            request, longTime, [&result](CallResult ended) { result = std::move(ended); });
+        CHECK(runUntil([&result] { return result.has_value(); }));
+        CHECK(result->outcome == CallOutcome::Answered);
+        return *result;
+    }
+
+    // Whether the caller of that instance is answered by a server.
+    void awaitAnswers(size_t index, const std::string& target)
+    {
+        CHECK(runUntil([&] { return call(index, requestFor("GET", target)).response.status == 200; }));
+    }
+
+    static std::string answerTo(const std::string& request)
+    {
+        return "HTTP/1.1 200 OK\r\nPersimmonfield-Request-Id: " + idOf(request)
+            + "\r\nPersimmonfield-Response-Signature: signed\r\nContent-Length: 5\r\n\r\nwhole";
+    }
+};
+
+// The first instance sends it over a link, the second one to the server beside it.
+TEST(ServerAnswers, OneThatIsCutAnywhereIsNeverASuccess)
+{
+    size_t size = 0;
+    bool isCut = false;
+    bool isReset = false;
+    add("none", [](ScriptedConnection&, const std::string&) {});
+    add("orders", [&](ScriptedConnection& connection, const std::string& request) {
+        const std::string answer = answerTo(request);
+        connection.send(isCut ? answer.substr(0, size) : answer);
+        if (isCut && isReset)
+            connection.reset();
+        else if (isCut)
+            connection.end();
+    });
+    awaitAnswers(0, "/views/1");
+    const size_t wholeSize = answerTo("Persimmonfield-Request-Id: r100\r\n").size();
+    for (size = 0; size < wholeSize - 10; ++size) {
+        for (const size_t entrance : { 0, 1 }) {
+            isCut = true;
+            LONGS_EQUAL(502, call(entrance, requestFor("POST", "/orders/1")).response.status);
+            isReset = !isReset;
+            isCut = false;
+            const CallResult whole = call(entrance, requestFor("POST", "/orders/1"));
+            LONGS_EQUAL(200, whole.response.status);
+            STRCMP_EQUAL("whole", whole.response.body.c_str());
+        }
+    }
+}
+
+TEST(ServerAnswers, WhatMayBeRepeatedIsAskedOfAnotherServerAfterACutHead)
+{
+    size_t cuts = 0;
+    add("orders", [&cuts](ScriptedConnection& connection, const std::string& request) {
+        connection.send(answerTo(request).substr(0, 40));
+        connection.end();
+        ++cuts;
+    });
+    add("orders", [](ScriptedConnection& connection, const std::string& request) {
+        connection.send(answerTo(request));
+    });
+    awaitAnswers(0, "/views/1");
+    CHECK(runUntil([&] {
+        const CallResult result = call(0, requestFor("GET", "/views/1"));
+        LONGS_EQUAL(200, result.response.status);
+        STRCMP_EQUAL("whole", result.response.body.c_str());
+        return cuts > 0;
+    }));
+}
