HTTP client: an answer to HEAD behind an interim one has no body either

A server that sent 100 Continue before its answer to HEAD was taken to owe the body whose length the answer tells: the call ended with an unknown outcome when the connection did, or when its time was over. The parser is made anew behind an interim answer, and only the first one was told that no body comes.

Before the change the new test failed: "CHECK(ended.outcome == CallOutcome::Answered) failed".

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -96,7 +96,6 @@
     hasSent_ = true;
     passedOver_ = 0;
     beginAnswer();
-    parser_->skip(request_.method == "HEAD");
     auto bytes = std::make_shared<std::string>(encodeRequest(request_));
     asio::async_write(
         socket_, asio::buffer(*bytes), [self = shared_from_this(), bytes](std::error_code error, size_t) {
@@ -112,6 +111,7 @@
     parser_.emplace();
     parser_->eager(true);
     parser_->body_limit(client_->options_.largestBody);
+    parser_->skip(request_.method == "HEAD");
 }
 
 void HttpClientConnection::read()
--- a/tests/http/cutanswers.cpp
+++ b/tests/http/cutanswers.cpp
@@ -171,3 +171,10 @@
     checkIsWholeAtItsLastByte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "");
     checkIsWholeAtItsLastByte("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "");
 }
+
+TEST(CutAnswers, ToHeadBehindAnInterimAnswer)
+{
+    method = "HEAD";
+    checkIsWholeAtItsLastByte(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "");
+}
