Platform: an answer that does not name the request is not its answer

Callers were told "not run, try again" for requests that their server ran, or such a request ran at a second server: a faulty server had written an earlier refusal once more, behind the next request, and an answer without a request id was taken for the answer to whatever had been asked.

If none comes, the outcome is unknown, never "not run". Only a request that itself has no id is answered without one; a server does not run it.

The stand-in for servers left the id out of its 421 and of the answers that it had held back; it echoes it now.

Before the change the new tests failed: "expected <200> but was <503>" through whole instances, and "CHECK(!isAnswer(idA, {})) failed".

--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -141,6 +141,21 @@
     CHECK(!edges.readFromServer({ 200, { { "Persimmonfield-Server-Load", "x" } }, {} }).load.has_value());
 }
 
+TEST(RequestWire, ARefusalThatNamesNoRequestAnswersNoneThatHasAnId)
+{
+    const auto isAnswer = [this](const HeaderFields& asked, HeaderFields answered) {
+        answered.push_back({ "Persimmonfield-Not-Executed", "1" });
+        return edges.isAnswerTo({ "GET", "/", asked, {} }, { 503, answered, {} });
+    };
+    const HeaderFields idA { { "Persimmonfield-Request-Id", "a" } };
+    const HeaderFields idB { { "Persimmonfield-Request-Id", "b" } };
+    CHECK(isAnswer(idA, idA));
+    CHECK(!isAnswer(idA, idB));
+    CHECK(!isAnswer(idA, {}));
+    CHECK(!isAnswer({}, idA));
+    CHECK(isAnswer({ { "Persimmonfield-Request-Id", "" } }, {}));
+}
+
 TEST(RequestWire, AnUnreadablePatienceIsAnError)
 {
     HttpRequest request;
--- a/tests/sidecar/serveranswers.cpp
+++ b/tests/sidecar/serveranswers.cpp
@@ -5,6 +5,11 @@
 #include "standins/loopback.h"
 #include "standins/scriptedserver.h"
 
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace persimmonfield;
@@ -27,7 +32,9 @@
     addRule("orders", "non_idempotent", "orders");
     addRule("views", "idempotent", "orders");
     return { { "version", "r1" }, { "listeners", { { { "host", "h" }, { "routingRules", rules } } } },
-        { "clusters", { { { "name", "orders" } }, { { "name", "none" } } } } };
+        { "clusters",
+            { { { "name", "gallery" }, { "sharded", true } }, { { "name", "orders" } },
+                { { "name", "none" } } } } };
 }
 
 SidecarSettings settingsOf(int index, const std::string& service)
@@ -135,6 +142,12 @@
         CHECK(runUntil([&] { return call(index, requestFor("GET", target)).response.status == 200; }));
     }
 
+    static std::string refusalWith(const std::string& field)
+    {
+        return "HTTP/1.1 503 Service Unavailable\r\n" + field
+            + "Persimmonfield-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
     static std::string answerTo(const std::string& request)
     {
         return "HTTP/1.1 200 OK\r\nPersimmonfield-Request-Id: " + idOf(request)
@@ -191,3 +204,22 @@
         return cuts > 0;
     }));
 }
+
+// The server runs the order; the refusal is of another request.
+TEST(ServerAnswers, ARefusalThatNamesNoRequestPromisesNothing)
+{
+    bool isAnswering = true;
+    add("none", [](ScriptedConnection&, const std::string&) {});
+    add("orders", [&isAnswering](ScriptedConnection& connection, const std::string& request) {
+        if (request.find("POST") == 0)
+            connection.send(refusalWith({}));
+        if (isAnswering)
+            connection.send(answerTo(request));
+        else
+            connection.end();
+    });
+    awaitAnswers(0, "/views/1");
+    LONGS_EQUAL(200, call(0, requestFor("POST", "/orders/1")).response.status);
+    isAnswering = false;
+    LONGS_EQUAL(502, call(0, requestFor("POST", "/orders/1")).response.status);
+}
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -32,6 +32,14 @@
         return response;
     }
 
+    // Names the request, as servers do.
+    HttpResponse answerTo(const HttpRequest& request, int status, const std::string& body)
+    {
+        HttpResponse response = responseWith(status, body);
+        response.headers = { { "Persimmonfield-Request-Id", *request.header("Persimmonfield-Request-Id") } };
+        return response;
+    }
+
 }
 
 StandInStore::StandInStore(asio::io_context& loop, const Address& address)
@@ -309,7 +317,7 @@
     const bool isKeyed = header && absl::SimpleAtoi(*header, &key);
     const bool isMisdirected = (expected && *expected != id_) || (isKeyed && !holds(key));
     if (isMisdirected)
-        return exchange->respond(responseWith(421, {}));
+        return exchange->respond(answerTo(request, 421, {}));
     runs_.push_back(request);
     if (onRun_)
         onRun_(request);
@@ -331,17 +339,16 @@
 
 void StandInServer::respondTo(const std::shared_ptr<HttpExchange>& exchange)
 {
-    HttpResponse response = responseWith(200, "from " + id_);
-    response.headers = { { "Persimmonfield-Request-Id",
-                             *exchange->request().header("Persimmonfield-Request-Id") },
-        { "Persimmonfield-Response-Signature", "signed" }, { "Persimmonfield-Server-Load", "1,0,2,100" } };
+    HttpResponse response = answerTo(exchange->request(), 200, "from " + id_);
+    response.headers.push_back({ "Persimmonfield-Response-Signature", "signed" });
+    response.headers.push_back({ "Persimmonfield-Server-Load", "1,0,2,100" });
     exchange->respond(std::move(response));
 }
 
 void StandInServer::answerHeld()
 {
     for (const auto& exchange : std::exchange(held_, {}))
-        exchange->respond(responseWith(200, "late from " + id_));
+        exchange->respond(answerTo(exchange->request(), 200, "late from " + id_));
 }
 
 void StandInServer::stop()
