Server gate: a request that was refused comes again over a new connection

A caller could be told "not run" for a request that must run once and that its server ran. A request for a key is sent to the key's owner again after a refusal, under the same id and, as the connection used last is used first, mostly on the same connection. A faulty server that wrote the refusal of the first try once more behind the second one named that request, so it was taken for the answer to the second try.

The gate remembers the requests that its server refused until their deadline, and sends one that comes again over a new connection, where nothing of the first try can arrive. The price is a connection for each request that is sent again; others keep using the kept ones.

Before the change the new test failed: "expected <200> but was <503>".

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -23,11 +23,13 @@
         connection->close();
 }
 
-HttpClient::CallId HttpClient::call(HttpRequest request, Duration timeout, Done done)
+HttpClient::CallId HttpClient::call(HttpRequest request, Duration timeout, Done done, Reuse reuse)
 {
     if (!request.header("Host"))
         request.headers.push_back({ "Host", options_.address.text() });
-    std::shared_ptr<HttpClientConnection> connection = takeIdle();
+    std::shared_ptr<HttpClientConnection> connection;
+    if (reuse == Reuse::Allowed)
+        connection = takeIdle();
     if (!connection)
         connection = std::make_shared<HttpClientConnection>(*this);
     const CallId id = nextId_++;
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -24,6 +24,9 @@
     TimedOut, // Sent at least in part; no whole answer came in time.
 };
 
+// Whether a call may use a kept connection.
+enum class Reuse { Allowed, Forbidden };
+
 struct CallResult {
     CallOutcome outcome = CallOutcome::NotSent;
     HttpResponse response; // When answered.
@@ -61,7 +64,7 @@
 
     // Sends the request; `done` is called exactly once, never before the return, unless the call is
     // cancelled.
-    CallId call(HttpRequest request, Duration timeout, Done done);
+    CallId call(HttpRequest request, Duration timeout, Done done, Reuse reuse = Reuse::Allowed);
 
     // Whether bytes of the request may have been sent.
     bool hasSent(CallId id) const;
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -21,6 +21,8 @@
     constexpr Milliseconds leaveMargin { 500 };
     // What is sent at the deadline cannot be answered in time.
     constexpr Milliseconds leastTimeLeft { 5 };
+    // The tries of a request come with deadlines that differ by the time each was on its way.
+    constexpr Milliseconds refusedMargin { 1'000 };
     constexpr int usualPacePercent = 100;
     // An answer goes to another instance in one frame, with its head. Bytes.
     constexpr size_t roomForHead = 131'072;
@@ -66,6 +68,7 @@
     server_ = std::move(server);
     if (isOther) {
         client_.closeAll();
+        refused_.clear();
         unreachableUntil_ = TimePoint();
     }
     startWaiting();
@@ -290,8 +293,10 @@
     running.zoneOutFor = options_.zones->outFor(options_.settings.zone, now);
     if (running.zoneOutFor)
         options_.counters->counter("zone_out_requests_total")++;
+    // A repeated answer to the first try would name the request of the second as well.
+    const Reuse reuse = wasRefused(running.call.request.requestId, now) ? Reuse::Forbidden : Reuse::Allowed;
     running.httpCall = client_.call(
-        std::move(request), left, [this, id](CallResult result) { ended(id, std::move(result)); });
+        std::move(request), left, [this, id](CallResult result) { ended(id, std::move(result)); }, reuse);
     running_.emplace(id, std::move(running));
     options_.counters->counter("server_requests_total")++;
 }
@@ -308,7 +313,10 @@
     if (result.outcome == CallOutcome::NotSent)
         unreachableUntil_ = now + unreachablePause;
     options_.counters->histogram("server_call_seconds").observe(work);
+    const bool hasAnswered = result.outcome == CallOutcome::Answered;
     Reply reply = replyOf(std::move(result));
+    if (hasAnswered && reply.isNotRun())
+        refused_.push_back({ running.call.request.requestId, running.call.deadline + refusedMargin });
     if (reply.isAnswer)
         noteWork(running.call.request.route, work);
     logCall(running, work, reply);
@@ -316,6 +324,14 @@
     startWaiting();
 }
 
+bool ServerGate::wasRefused(const std::string& requestId, TimePoint now)
+{
+    while (!refused_.empty() && refused_.front().until <= now)
+        refused_.pop_front();
+    return std::any_of(refused_.begin(), refused_.end(),
+        [&requestId](const Refused& refused) { return refused.requestId == requestId; });
+}
+
 void ServerGate::logCall(const Running& running, Duration work, const Reply& reply) const
 {
     nlohmann::json zoneOutMs;
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -103,6 +103,12 @@
         std::optional<Duration> zoneOutFor; // When it began, as ZonesOut has it.
     };
 
+    // A request that the server refused, and until when it may come again.
+    struct Refused {
+        std::string requestId;
+        TimePoint until;
+    };
+
     std::optional<Reply> refusal(const GateCall& call, TimePoint now) const;
     bool wouldBeCut(const GateCall& call, TimePoint start) const;
     Duration expectedWork(const std::string& route) const;
@@ -113,6 +119,7 @@
     Duration untilColdRoom(TimePoint now);
     void start(CallId id, GateCall call, TimePoint now);
     void ended(CallId id, CallResult result);
+    bool wasRefused(const std::string& requestId, TimePoint now);
     void logCall(const Running& running, Duration work, const Reply& reply) const;
     Reply replyOf(CallResult result);
     Rank rankOf(CallId id, const GateCall& call, TimePoint now) const;
@@ -134,6 +141,7 @@
     std::map<Rank, GateCall> waiting_;
     std::map<CallId, Running> running_;
     std::deque<TimePoint> startedLately_; // Within the last second.
+    std::deque<Refused> refused_;
     std::map<std::string, Duration> usualWork_; // By route.
     peer::ServerLoad reportedLoad_ {};
     LoadMeter busyness_; // Requests that run or wait, by slots.
--- a/tests/http/keptconnections.cpp
+++ b/tests/http/keptconnections.cpp
@@ -113,6 +113,17 @@
     LONGS_EQUAL(1, client.connectionsOpened());
 }
 
+TEST(KeptConnections, AreLeftAloneByACallThatForbidsIt)
+{
+    callFirst();
+    result.reset();
+    client.call(
+        { "GET", "/second", {}, {} }, patience, [this](CallResult ended) { result = std::move(ended); },
+        Reuse::Forbidden);
+    checkSecondIsAnsweredOnAnotherConnection();
+    CHECK(!connection(0).isClosed());
+}
+
 TEST(KeptConnections, BytesThatCameBeforeARequestAreNotItsAnswer)
 {
     callFirst();
--- a/tests/sidecar/serveranswers.cpp
+++ b/tests/sidecar/serveranswers.cpp
@@ -5,6 +5,7 @@
 #include "standins/loopback.h"
 #include "standins/scriptedserver.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,7 @@
     };
     addRule("orders", "non_idempotent", "orders");
     addRule("views", "idempotent", "orders");
+    addRule("cards", "non_idempotent", "gallery");
     return { { "version", "r1" }, { "listeners", { { { "host", "h" }, { "routingRules", rules } } } },
         { "clusters",
             { { { "name", "gallery" }, { "sharded", true } }, { { "name", "orders" } },
@@ -223,3 +225,22 @@
     isAnswering = false;
     LONGS_EQUAL(502, call(0, requestFor("POST", "/orders/1")).response.status);
 }
+
+// A request for a key goes to its owner again. What is left of its first try must not answer the second.
+TEST(ServerAnswers, ARepeatedRefusalIsNotTheAnswerToTheSameRequestSentAgain)
+{
+    std::map<std::string, size_t> arrivals;
+    add("gallery", [this, &arrivals](ScriptedConnection& connection, const std::string& request) {
+        const std::string refusal = refusalWith("Persimmonfield-Request-Id: " + idOf(request) + "\r\n");
+        if (++arrivals[idOf(request)] == 1)
+            return connection.send(refusal);
+        instances[0]->server.connections().front()->send(refusal);
+        connection.send(answerTo(request));
+    });
+    CHECK(runUntil([this] { return instances[0]->reporter->holds(1); }));
+    HttpRequest request = requestFor("POST", "/cards/1");
+    request.headers.push_back({ "Persimmonfield-Shard-Key", "1" });
+    const CallResult result = call(0, request);
+    LONGS_EQUAL(200, result.response.status);
+    LONGS_EQUAL(2, arrivals.begin()->second);
+}
