Sidecar: links are closed by agreement at the end of a stop

Callers of other instances got 502 for requests that were on their way to an instance when its process ended: the frames went with the sockets, and the sender could not know that they had not run. What must run once was lost to its caller, the rest cost a second try.

Before its end an instance now takes no more links, has the gate refuse everything, and sends a last departure on each link that others dialed. These send nothing more on the link but the acknowledgement (departureAck) and dial anew when they want the address again, which fails as not run. When the instance reads the acknowledgement, it has read all that was sent before, and refused it as not run; it then closes with the closing handshake, so the refusals have been read too. Nothing is inferred from the close: a call that is open then still ends as unknown, and that is one that runs at the server. The acknowledgement is not the closing frame itself, since websocketpp drops messages that come after its own closing frame. Links that are not closed after 300 ms are cut as before.

In the test a caller sends one request each 5 ms through another instance, whose way to the stopping one takes 30 ms.

Two more tests, which passed before: a silent link does not keep the stop from ending (300 ms more), and a request that runs at the end is 502 still.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -32,9 +32,9 @@
     // Others that an instance tells of a change of the operator's: if all do, hardly one is left out.
     constexpr int instancesTold = 3;
     // What is still open so long before the process is ended by force is given up, and its callers are told.
-    constexpr Milliseconds stopMargin { 600 };
-    // The process must be gone before it is ended by force.
-    constexpr Milliseconds endMargin { 300 };
+    constexpr Milliseconds stopMargin { 900 };
+    // Callers' connections that are still open then are cut; the farewell to other instances comes last.
+    constexpr Milliseconds endMargin { 600 };
 
 }
 
@@ -95,10 +95,11 @@
         peers_->onClosed(link, wasOpen);
         peerGate_->onClosed(link);
         relay_->onClosed(link);
+        farewell_->onClosed(link);
     };
     options.onAccepted = [this](LinkId link) { farewell_->onAccepted(link); };
     network_ = std::make_unique<PeerNetwork>(std::move(options));
-    farewell_ = std::make_unique<Farewell>(*network_, settings_.name, incarnation_);
+    farewell_ = std::make_unique<Farewell>(loop_, *network_, *gate_, settings_.name, incarnation_);
     relay_ = std::make_unique<StoreRelay>(loop_, settings_.name, directory_, *network_, transport_);
     peers_ = std::make_unique<PeerCalls>(*network_);
     peerGate_ = std::make_unique<PeerGate>(*gate_, *network_);
@@ -328,13 +329,21 @@
     else if (message.storeChange)
         store_.hurryWatch(message.storeChange->kind, message.storeChange->revision);
     else if (message.departure)
-        onDeparture(*message.departure);
+        onDeparture(link, *message.departure);
+    else if (message.departureAck)
+        farewell_->onAck(link);
     else
         log(LogLevel::Warning, "frame-unexpected", { { "link", link } });
 }
 
-void Sidecar::onDeparture(const peer::Departure& departure)
+void Sidecar::onDeparture(LinkId link, const peer::Departure& departure)
 {
+    if (departure.last) {
+        peer::PeerMessage message;
+        message.departureAck = peer::DepartureAck { departure.instance };
+        network_->send(link, { message, {} });
+        network_->retire(link);
+    }
     if (!directory_.noteDeparture(departure.instance, departure.incarnation))
         return;
     log(LogLevel::Info, "instance-departs", { { "instance", departure.instance } });
@@ -392,7 +401,7 @@
             { { "isIdle", isFinished && gate_->isIdle() },
                 { "callerConnections", callers_.openConnections() },
                 { "openRequests", ingress_->openRequests() } });
-        return onStopped_();
+        return farewell_->begin(onStopped_);
     }
     stopTimer_.expires_after(stopCheckInterval);
     stopTimer_.async_wait([this](std::error_code error) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -69,7 +69,7 @@
     void notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision);
     void tellOfChange(const std::string& kind, int64_t revision);
     void onFrame(LinkId link, Frame frame);
-    void onDeparture(const peer::Departure& departure);
+    void onDeparture(LinkId link, const peer::Departure& departure);
     void answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const;
     void answerMetrics(const std::shared_ptr<HttpExchange>& exchange) const;
     void answerKeys(const ServerReport& report, const KeysDone& done);
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -46,6 +46,7 @@
         LinkId id = 0;
         std::string address; // Empty for a link that the other side dialed.
         LinkState state = LinkState::Dialing;
+        bool isRetired = false;
         Handle handle;
         std::vector<Frame> waiting; // To be sent once open.
         TimePoint lastSent;
@@ -127,6 +128,8 @@
             if (found == links_.end())
                 return false;
             Link& link = found->second;
+            if (link.isRetired)
+                return false;
             link.lastSent = BootClock::now();
             if (link.state == LinkState::Dialing) {
                 link.waiting.push_back(frame);
@@ -155,17 +158,59 @@
         return true;
     }
 
-    std::vector<LinkId> openLinks() const
+    std::vector<LinkId> openLinks(bool isAcceptedOnly) const
     {
         std::lock_guard lock(mutex_);
         std::vector<LinkId> open;
         for (const auto& [id, link] : links_) {
-            if (link.state == LinkState::Open)
+            if (link.state == LinkState::Open && (!isAcceptedOnly || link.address.empty()))
                 open.push_back(id);
         }
         return open;
     }
 
+    void refuseLinks()
+    {
+        isRefusing_ = true;
+        if (!server_.is_listening())
+            return;
+        std::error_code error;
+        server_.stop_listening(error);
+        if (error)
+            log(LogLevel::Warning, "peer-address-not-left", { { "cause", error.message() } });
+    }
+
+    void retire(LinkId id)
+    {
+        std::lock_guard lock(mutex_);
+        const auto found = links_.find(id);
+        if (found == links_.end())
+            return;
+        found->second.isRetired = true;
+        forgetAddress(found->second);
+    }
+
+    void close(LinkId id)
+    {
+        Handle handle;
+        bool isDialed = false;
+        {
+            std::lock_guard lock(mutex_);
+            const auto found = links_.find(id);
+            if (found == links_.end())
+                return;
+            handle = found->second.handle;
+            isDialed = !found->second.address.empty();
+        }
+        std::error_code error;
+        if (isDialed)
+            client_.close(handle, websocketpp::close::status::going_away, {}, error);
+        else
+            server_.close(handle, websocketpp::close::status::going_away, {}, error);
+        if (error)
+            log(LogLevel::Info, "link-not-closed", { { "link", id }, { "cause", error.message() } });
+    }
+
     bool waitForRoom(LinkId id, TimePoint deadline)
     {
         while (true) {
@@ -230,6 +275,8 @@
 
     bool hasSecret(const Handle& handle)
     {
+        if (isRefusing_)
+            return false;
         const std::string given = server_.get_con_from_hdl(handle)->get_request_header(secretHeader);
         if (equalsInConstantTime(given, options_.secret))
             return true;
@@ -298,13 +345,19 @@
     void removeLink(LinkId id)
     {
         const Link& link = links_[id];
-        const auto current = byAddress_.find(link.address);
-        if (current != byAddress_.end() && current->second == id)
-            byAddress_.erase(current);
+        forgetAddress(link);
         byHandle_.erase(link.handle);
         links_.erase(id);
     }
 
+    // Call with the mutex held.
+    void forgetAddress(const Link& link)
+    {
+        const auto current = byAddress_.find(link.address);
+        if (current != byAddress_.end() && current->second == link.id)
+            byAddress_.erase(current);
+    }
+
     void touch(const Handle& handle)
     {
         std::lock_guard lock(mutex_);
@@ -353,7 +406,7 @@
     }
 
     // Pings the dialed links in use and ends those from which nothing came for too long: something between
-    // the two ends may have lost track of the connection.
+    // the two ends may have lost track of the connection. On retired ones the other end is to close.
     void checkSilence()
     {
         std::vector<Handle> toPing;
@@ -362,7 +415,14 @@
             std::lock_guard lock(mutex_);
             const TimePoint now = BootClock::now();
             for (auto& [id, link] : links_) {
-                if (link.state != LinkState::Open || link.address.empty() || now - link.lastSent > activeFor)
+                if (link.state != LinkState::Open || link.address.empty())
+                    continue;
+                if (link.isRetired) {
+                    if (now - link.lastReceived > silenceBound)
+                        toEnd.push_back(link.handle);
+                    continue;
+                }
+                if (now - link.lastSent > activeFor)
                     continue;
                 // What came lately shows that the link lives.
                 if (!link.unansweredSince && now - link.lastReceived < pingInterval)
@@ -394,6 +454,7 @@
     Server server_;
     std::thread thread_;
     std::atomic<bool> isStarted_ { false };
+    std::atomic<bool> isRefusing_ { false };
     mutable std::mutex mutex_;
     LinkId nextId_ = 1;
     std::unordered_map<LinkId, Link> links_;
@@ -449,7 +510,27 @@
 
 std::vector<LinkId> PeerNetwork::openLinks() const
 {
-    return impl_->openLinks();
+    return impl_->openLinks(false);
+}
+
+std::vector<LinkId> PeerNetwork::acceptedLinks() const
+{
+    return impl_->openLinks(true);
+}
+
+void PeerNetwork::refuseLinks()
+{
+    impl_->refuseLinks();
+}
+
+void PeerNetwork::retire(LinkId link)
+{
+    impl_->retire(link);
+}
+
+void PeerNetwork::close(LinkId link)
+{
+    impl_->close(link);
 }
 
 bool PeerNetwork::waitForRoom(LinkId link, TimePoint deadline)
--- a/src/transport/peernetwork.h
+++ b/src/transport/peernetwork.h
@@ -59,8 +59,18 @@
     // Takes back the request of that number while it waits for its link to be dialed; false when it does not.
     bool withdrawRequest(LinkId link, int64_t number);
 
-    // The links that are open, whoever dialed them.
+    // The links that are open, whoever dialed them, and those of them that others dialed.
     std::vector<LinkId> openLinks() const;
+    std::vector<LinkId> acceptedLinks() const;
+
+    // Lets others open no more links: their attempts fail without having been open.
+    void refuseLinks();
+
+    // Sends nothing more on the dialed link; its address is dialed anew when it is wanted again.
+    void retire(LinkId link);
+
+    // Closes the link once what was sent on it has left, with the other side's consent.
+    void close(LinkId link);
 
     // Waits until the link's backlog is short, at most until `deadline`; false when it stayed long.
     bool waitForRoom(LinkId link, TimePoint deadline);
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -22,6 +22,8 @@
 const Address storeAddress { "127.0.0.1", 18'799 };
 // A way to the store that can be cut, for the third instance.
 const Address proxiedStoreAddress { "127.0.0.1", 18'797 };
+// A way to the links of the first instance that can be slowed down.
+const Address proxiedPeerAddress { "127.0.0.1", 18'796 };
 
 nlohmann::json configuration(int version, bool hasOrders = true)
 {
@@ -118,6 +120,16 @@
         CHECK(runUntil([this] { return isServing(); }));
     }
 
+    // Others reach the links of the first instance at the address.
+    void seeFirstThrough(const Address& address) const
+    {
+        store->setView([address](const std::string& kind, const std::string& name, nlohmann::json value) {
+            if (kind == fleetKind && name == instanceObjectName("i0"))
+                value["peerAddress"] = address.text();
+            return value;
+        });
+    }
+
     bool isServing() const
     {
         for (const auto& instance : instances) {
@@ -582,3 +594,46 @@
         LONGS_EQUAL(200, statusOf(2, orderRequest()));
     LONGS_EQUAL(before, serverOf(0).runs().size());
 }
+
+TEST(Sidecar, ARequestThatIsOnItsWayToAnInstanceThatEndsIsKnownNotToHaveRun)
+{
+    FaultProxy peerProxy(loop, proxiedPeerAddress, settingsOf(0, {}).peerAddress);
+    peerProxy.setDelay(Milliseconds(30));
+    seeFirstThrough(proxiedPeerAddress);
+    begin({ "gallery", "orders" }, true);
+    LONGS_EQUAL(200, statusOf(1, albumRequest()));
+    const size_t before = serverOf(0).runs().size();
+    const auto statuses = statusesWhileTheFirstStops(Milliseconds(2'000), Milliseconds(5));
+    LONGS_EQUAL(0, std::count(statuses.begin(), statuses.end(), 502));
+    const auto answered = std::count(statuses.begin(), statuses.end(), 200);
+    LONGS_EQUAL(serverOf(0).runs().size() - before, answered);
+    LONGS_EQUAL(statuses.size() - answered, std::count(statuses.begin(), statuses.end(), 503));
+}
+
+TEST(Sidecar, AStopEndsThoughALinkIsSilent)
+{
+    FaultProxy peerProxy(loop, proxiedPeerAddress, settingsOf(0, {}).peerAddress);
+    seeFirstThrough(proxiedPeerAddress);
+    begin({ "gallery", "orders" });
+    LONGS_EQUAL(200, statusOf(1, albumRequest()));
+    peerProxy.silenceOpen();
+    bool isStopped = false;
+    instances[0]->sidecar->stop([&isStopped] { isStopped = true; });
+    CHECK(runUntil([&isStopped] { return isStopped; }));
+}
+
+TEST(Sidecar, ARequestThatRunsWhenItsInstanceEndsIsNotTakenForNotRun)
+{
+    begin({ "gallery", "orders" }, true);
+    serverOf(0).holdAnswers(true);
+    std::optional<CallResult> result;
+    instances[1]->caller.call(
+        albumRequest(), longTime, [&result](CallResult ended) { result = std::move(ended); });
+    CHECK(runUntil([this] { return runsOfAll() == 1; }));
+    bool isStopped = false;
+    instances[0]->sidecar->stop([&isStopped] { isStopped = true; });
+    CHECK(runUntil([&isStopped] { return isStopped; }));
+    instances[0]->endProcess();
+    CHECK(runUntil([&result] { return result.has_value(); }));
+    LONGS_EQUAL(502, result->response.status);
+}
