--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -23,7 +23,7 @@
 
 const Address serverAddress { "127.0.0.1", 18'751 };
 const Address rawAddress { "127.0.0.1", 18'752 };
-const Address drainedAddress { "127.0.0.1", 18'754 };
+const Address drainedAddress { "127.0.0.1", 18'757 };
 constexpr size_t largeAnswer = 40'000;
 constexpr int smallReceiveBuffer = 4'096;
 constexpr Milliseconds longTime { 10'000 };
--- a/tests/sidecar/cancelledcalls.cpp
+++ b/tests/sidecar/cancelledcalls.cpp
@@ -108,6 +108,7 @@
         runs.push_back(*exchange.request().header("Persimmonfield-Request-Id"));
         HttpResponse response;
         response.status = 200;
+        response.headers = { { "Persimmonfield-Request-Id", runs.back() } };
         exchange.respond(std::move(response));
     }
 
