Soak: each connection that a stop ends without an answer is counted

What is new: - Callers that go on sending over a connection of their own until it is closed, and over the next one until the process is gone: single requests, pipelined GETs, bodies in pieces. - Each connection that ends without an answer is counted. In calm, planned work aside, it breaks a promise when the request ran, or when it had been sent more than 200 ms before. Those that crossed the close, or were sent behind Connection: close, are printed in the summary. Time by which the soak itself was late is not held against a daemon. - 10 s of planned work before the faults: stops that roll over two to six machines 200 to 700 ms apart, with configurations, SIGHUPs and slow servers beside them. The fault proxy changes the bytes, since HttpServer writes whole answers only; a proxy before each server ends with it, so that a server that crashed still refuses connections.

The check of before, a request that ran and was cut off in calm, goes on for all callers; it is made a second later, so that runs that begin behind the close count as well.

--- a/tests/soak/machine.cpp
+++ b/tests/soak/machine.cpp
@@ -13,7 +13,7 @@
     constexpr int firstPort = 22'000;
     constexpr int portsPerMachine = 20;
     constexpr int zones = 3;
-    constexpr Milliseconds workTime { 40 };
+    constexpr Milliseconds usualWorkTime { 40 };
 
     enum PortOffset {
         CallerPort,
@@ -24,6 +24,7 @@
         LastInternalPort = PeerPort + 1,
         StoreProxyPort,
         PeerProxyPort,
+        ServerProxyPort,
     };
 
 }
@@ -33,6 +34,7 @@
 Machine::Machine(asio::io_context& loop, Options options)
     : loop_(loop)
     , options_(std::move(options))
+    , turnTimer_(loop)
 {
     storeProxy_ = std::make_unique<FaultProxy>(loop, address(StoreProxyPort), storeAddress);
     peerProxy_ = std::make_unique<FaultProxy>(loop, address(PeerProxyPort), address(PeerPort));
@@ -52,6 +54,11 @@
     return fmt::format("zone-{}", options_.index % zones);
 }
 
+Address Machine::callerAddress() const
+{
+    return address(CallerPort);
+}
+
 Address Machine::address(int offset) const
 {
     return { host, firstPort + options_.index * portsPerMachine + offset };
@@ -71,7 +78,7 @@
          << "\nreport-address = " << address(ReportPort).text()
          << "\nreadiness-address = " << address(ReadinessPort).text() << "\nhost = " << host
          << "\ninternal-ports = " << address(PeerPort).port << "," << address(LastInternalPort).port
-         << "\nserver-address = " << address(ServerPort).text()
+         << "\nserver-address = " << address(ServerProxyPort).text()
          << "\nstore-address = " << address(StoreProxyPort).text()
          << "\nreport-interval = 300ms\n[bounds]\ndrain = 2000ms\ngrace = 6s\nquotaSlack = 20\n";
     return path;
@@ -79,11 +86,47 @@
 
 void Machine::startDaemon()
 {
+    feedDaemon();
     setenv("PERSIMMONFIELD_CONFIG", writeSettings().c_str(), 1);
     daemon_ = std::make_unique<testing::Process>(
         std::vector<std::string> { options_.program }, fmt::format("{}/{}.log", options_.directory, name()));
 }
 
+void Machine::starveDaemon(Milliseconds on, Milliseconds off)
+{
+    isStarved_ = true;
+    takeTurn(true, on, off);
+}
+
+void Machine::feedDaemon()
+{
+    if (std::exchange(isStarved_, false))
+        freezeDaemon(false);
+    turnTimer_.cancel();
+}
+
+void Machine::takeTurn(bool isFrozen, Milliseconds on, Milliseconds off)
+{
+    freezeDaemon(isFrozen);
+    turnTimer_.expires_after(isFrozen ? off : on);
+    turnTimer_.async_wait([this, isFrozen, on, off](std::error_code error) {
+        if (!error && isStarved_)
+            takeTurn(!isFrozen, on, off);
+    });
+}
+
+void Machine::stopServer()
+{
+    server().stop();
+    serverProxies_.back()->stop();
+}
+
+void Machine::setWorkTime(std::optional<Milliseconds> time)
+{
+    workTime_ = time.value_or(usualWorkTime);
+    server().setWorkTime(workTime_);
+}
+
 void Machine::startServer(bool hasSameId)
 {
     const auto life = static_cast<int64_t>(servers_.size()) + 1;
@@ -91,7 +134,10 @@
         = hasSameId && !servers_.empty() ? server().id() : fmt::format("{}-s{}", name(), life);
     servers_.push_back(std::make_unique<StandInServer>(
         loop_, id, options_.service, address(ServerPort), address(ReportPort), life));
-    server().setWorkTime(workTime);
+    serverProxies_.push_back(
+        std::make_unique<FaultProxy>(loop_, address(ServerProxyPort), address(ServerPort)));
+    serverProxies_.back()->setAnswerFilter(options_.answerFilter);
+    setWorkTime(std::nullopt);
     options_.onServer(server());
 }
 
--- a/tests/soak/machine.h
+++ b/tests/soak/machine.h
@@ -6,8 +6,10 @@
 #include "standins/loopback.h"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,7 @@
         std::string program; // The daemon.
         std::string directory; // For its settings and its log.
         std::function<void(StandInServer&)> onServer; // A server is about to begin.
+        FaultProxy::AnswerFilter answerFilter; // On what the server answers to the daemon.
     };
 
     Machine(asio::io_context& loop, Options options);
@@ -32,16 +35,24 @@
     void killDaemon() { daemon_->kill(); }
     void freezeDaemon(bool isFrozen) { daemon_->signal(isFrozen ? SIGSTOP : SIGCONT); }
     void reloadDaemon() { daemon_->signal(SIGHUP); }
+    // Gives the daemon its processor in turns only, until it is fed again.
+    void starveDaemon(Milliseconds on, Milliseconds off);
+    void feedDaemon();
     bool hasDaemonEnded() { return !daemon_->isRunning() || daemon_->hasEnded(); }
 
     // A server with the id of the last one or with a new one; the last one must have ended.
     void startServer(bool hasSameId);
+    void stopServer();
+    // Each request takes that long from now on; the usual time when there is none.
+    void setWorkTime(std::optional<Milliseconds> time);
+    Milliseconds workTime() const { return workTime_; }
     StandInServer& server() { return *servers_.back(); }
     const StandInServer& server() const { return *servers_.back(); }
 
     FaultProxy& storeProxy() { return *storeProxy_; }
     FaultProxy& peerProxy() { return *peerProxy_; }
     HttpClient& caller() { return *caller_; }
+    Address callerAddress() const;
 
     std::string name() const;
     std::string zone() const;
@@ -54,6 +65,7 @@
 private:
     Address address(int offset) const;
     std::string writeSettings() const;
+    void takeTurn(bool isFrozen, Milliseconds on, Milliseconds off);
 
     asio::io_context& loop_;
     Options options_;
@@ -61,8 +73,12 @@
     std::unique_ptr<FaultProxy> peerProxy_;
     std::unique_ptr<testing::Process> daemon_;
     std::unique_ptr<HttpClient> caller_;
-    // Servers that have ended stay: promises speak of them.
+    asio::steady_timer turnTimer_;
+    bool isStarved_ = false;
+    Milliseconds workTime_ { 0 };
+    // Servers that have ended stay: promises speak of them. Daemons reach each through a proxy of its own.
     std::vector<std::unique_ptr<StandInServer>> servers_;
+    std::vector<std::unique_ptr<FaultProxy>> serverProxies_;
 };
 
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <iostream>
 #include <utility>
 
@@ -19,6 +20,9 @@
     constexpr Milliseconds grace { 6'000 };
     // A request is lost by a planned stop only when nothing else happened for so long before it.
     constexpr Milliseconds contact { 3'000 };
+    constexpr Milliseconds noticedDelay { 20 };
+    constexpr size_t keptCallersPerMachine = 3;
+    constexpr size_t keptBodySize = 1'000;
     constexpr Milliseconds drainTime { 2'500 };
     constexpr Milliseconds evacuationTime { 5'000 };
     constexpr int lastKey = 65'535;
@@ -48,6 +52,8 @@
     : options_(std::move(options))
     , random_(options_.seed)
     , traffic_(options_.seed + 1)
+    , keptTraffic_(options_.seed + 2)
+    , spoiler_(options_.seed + 3)
 {
     store_ = std::make_unique<StandInStore>(loop_, Machine::storeAddress);
     // Daemons reach one another through the proxies only.
@@ -69,16 +75,49 @@
         machine.onServer = [this, i](StandInServer& server) {
             server.setRunHandler([this, i, &server](const HttpRequest& request) {
                 promises_.ran(server, request, othersOf(server), BootClock::now());
-                checkZone(*machines_[static_cast<size_t>(i)], request);
+                const Machine& own = *machines_[static_cast<size_t>(i)];
+                checkZone(own, request);
+                cuts_.noteRun(
+                    *request.header("Persimmonfield-Request-Id"), BootClock::now() + own.workTime());
             });
             server.setTakeHandler([this, &server](const StandInServer::Held& range) {
                 promises_.took(server, range, othersOf(server));
             });
         };
+        machine.answerFilter = [this](std::string& bytes) { return spoiler_.spoil(bytes); };
         machines_.push_back(std::make_unique<Machine>(loop_, std::move(machine)));
     }
 }
 
+void Soak::startCallers()
+{
+    for (const auto& machine : machines_) {
+        for (size_t i = 0; i < keptCallersPerMachine; ++i) {
+            KeptCaller::Options options;
+            options.address = machine->callerAddress();
+            options.seed = keptTraffic_();
+            options.makeRequest = [this](bool isPipelined) { return makeKeptRequest(isPipelined); };
+            options.onAnswer = [this](const HttpRequest& request, const HttpResponse& response) {
+                promises_.answered(request, response);
+            };
+            options.onCut = [this, own = machine.get()](const KeptCaller::Cut& cut) { noteCut(*own, cut); };
+            options.onTimeout = [this](const HttpRequest&) { ++timeouts_; };
+            keptCallers_.push_back(std::make_unique<KeptCaller>(loop_, std::move(options)));
+            keptCallers_.back()->start();
+        }
+    }
+}
+
+HttpRequest Soak::makeKeptRequest(bool isPipelined)
+{
+    const bool isCard = isPipelined || keptTraffic_() % 2 == 0;
+    const int key = static_cast<int>(keptTraffic_() % (lastKey + 1));
+    HttpRequest request = makeRequest(fmt::format("r{}", ++requests_), isCard, key, false);
+    if (!isCard)
+        request.body.assign(keptBodySize, 'x');
+    return request;
+}
+
 Promises::Servers Soak::othersOf(const StandInServer& server) const
 {
     Promises::Servers others;
@@ -114,6 +153,8 @@
 {
     busy_.insert(&machine);
     const TimePoint begun = BootClock::now();
+    if (isPlanned)
+        stoppedAt_[&machine] = begun;
     isPlanned ? machine.stopDaemon() : machine.killDaemon();
     const auto heal = [this, &machine, begun, isPlanned] {
         if (!machine.hasDaemonEnded() && BootClock::now() - begun < grace)
@@ -131,7 +172,7 @@
 Soak::Fault Soak::crashServer(Machine& machine)
 {
     busy_.insert(&machine);
-    machine.server().stop();
+    machine.stopServer();
     const bool hasSameId = random_() % 3 == 0;
     return { "server-crash", BootClock::now() + between(100, 2'500),
         [this, &machine, hasSameId] {
@@ -149,7 +190,7 @@
     return { "server-replaced", BootClock::now() + drainTime + between(0, 1'000),
         [this, &machine] {
             machine.server().leave();
-            machine.server().stop();
+            machine.stopServer();
             machine.startServer(false);
             busy_.erase(&machine);
             return true;
@@ -211,6 +252,23 @@
             } };
 }
 
+Soak::Fault Soak::reload(Machine& machine)
+{
+    machine.reloadDaemon();
+    putConfiguration(++version_);
+    return { "configuration", BootClock::now(), [] { return true; }, false, Reach::Nobody };
+}
+
+Soak::Fault Soak::slowServer(Machine& machine)
+{
+    machine.setWorkTime(between(300, 3'000));
+    const auto heal = [&machine] {
+        machine.setWorkTime(std::nullopt);
+        return true;
+    };
+    return { "server-slow", BootClock::now() + between(1'000, 4'000), heal, false, Reach::Nobody };
+}
+
 std::vector<Soak::Maker> Soak::makers()
 {
     return {
@@ -234,11 +292,7 @@
         },
         [this](Machine& machine) { return harmPath(machine.storeProxy(), "store-path"); },
         [this](Machine& machine) { return harmPath(machine.peerProxy(), "peer-path"); },
-        [this](Machine& machine) {
-            machine.reloadDaemon();
-            putConfiguration(++version_);
-            return Fault { "configuration", BootClock::now(), [] { return true; }, false, Reach::Nobody };
-        },
+        [this](Machine& machine) { return reload(machine); },
         [this](Machine& machine) {
             takeZoneOut(machine.zone());
             const auto heal = [this, &machine] {
@@ -255,14 +309,80 @@
     Machine& machine = *machines_[random_() % machines_.size()];
     if (isBusy(machine))
         return;
-    faults_.push_back(make(machine));
-    Fault& fault = faults_.back();
+    add(make(machine), machine);
+}
+
+void Soak::add(Fault fault, Machine& machine)
+{
     fault.machine = &machine;
     if (fault.isHarm)
         lastHarm_ = BootClock::now();
     noteReach(fault);
     std::cout << fmt::format("{} fault {} at {}\n", wallClockNow().count(), fault.name, machine.name())
               << std::flush;
+    faults_.push_back(std::move(fault));
+}
+
+// Stops that roll over several machines and overlap, with changes of the configuration beside them.
+void Soak::playPlannedWork()
+{
+    random_.seed(options_.seed + 4);
+    const TimePoint end = BootClock::now() + options_.length / 2;
+    TimePoint next = BootClock::now() + between(200, 1'500);
+    planRollingStop();
+    while (BootClock::now() < end || !plannedStops_.empty() || !faults_.empty()) {
+        runFor(requestInterval);
+        sendRequest();
+        healDue(false);
+        checkDaemons();
+        beginPlannedStops();
+        const TimePoint now = BootClock::now();
+        if (now < next || now >= end)
+            continue;
+        next = now + between(200, 1'500);
+        beginPlannedWork();
+    }
+    random_.seed(options_.seed);
+    traffic_.seed(options_.seed + 1);
+}
+
+void Soak::beginPlannedWork()
+{
+    const auto kind = random_() % 4;
+    Machine& machine = *machines_[random_() % machines_.size()];
+    if (kind < 2 && plannedStops_.empty())
+        return planRollingStop();
+    if (!isBusy(machine))
+        add(kind == 3 ? slowServer(machine) : reload(machine), machine);
+}
+
+void Soak::planRollingStop()
+{
+    std::vector<Machine*> order;
+    for (const auto& machine : machines_)
+        order.push_back(machine.get());
+    std::shuffle(order.begin(), order.end(), random_);
+    order.resize(2 + random_() % (order.size() - 1));
+    TimePoint at = BootClock::now();
+    for (Machine* machine : order) {
+        plannedStops_.push_back({ at, machine, random_() % 2 == 0 });
+        at += between(200, 700);
+    }
+}
+
+// Some of the machines are short of processor time while they stop. That is no harm: it happens to any that
+// has much to do.
+void Soak::beginPlannedStops()
+{
+    while (!plannedStops_.empty() && BootClock::now() >= plannedStops_.front().at) {
+        const PlannedStop stop = plannedStops_.front();
+        plannedStops_.erase(plannedStops_.begin());
+        if (isBusy(*stop.machine))
+            continue;
+        if (stop.isStarved)
+            stop.machine->starveDaemon(between(15, 40), between(80, 260));
+        add(restartDaemon(*stop.machine, true), *stop.machine);
+    }
 }
 
 void Soak::healDue(bool isAll)
@@ -345,18 +465,32 @@
     const std::string id = fmt::format("r{}", ++requests_);
     HttpRequest request = makeRequest(id, isCard, key, traffic_() % 2 == 0);
     const TimePoint now = BootClock::now();
-    machine.caller().call(
-        request, patience, [this, request, now](const CallResult& result) { ended(request, now, result); });
+    machine.caller().call(request, patience,
+        [this, &machine, request, now](const CallResult& result) { ended(machine, request, now, result); });
 }
 
-void Soak::ended(const HttpRequest& request, TimePoint sentAt, const CallResult& result)
+void Soak::ended(
+    const Machine& machine, const HttpRequest& request, TimePoint sentAt, const CallResult& result)
 {
     if (result.outcome == CallOutcome::Answered)
         return promises_.answered(request, result.response);
-    const std::string& id = *request.header("Persimmonfield-Request-Id");
-    const bool wasCalm = sentAt - lastHarm_ > contact;
-    if (result.outcome == CallOutcome::Lost && wasCalm && promises_.hasRun(id))
-        promises_.broken(fmt::format("request {} ran and was cut off in a planned stop", id));
+    if (result.outcome == CallOutcome::Lost)
+        noteCut(machine, { request, sentAt, true, false, 0, result.detail });
+}
+
+void Soak::noteCut(const Machine& machine, const KeptCaller::Cut& what)
+{
+    cuts_.add(what,
+        { machine.name(), what.sentAt - lastHarm_ > contact, stoppedAt_[&machine],
+            ownDelaySince(what.sentAt) });
+}
+
+Duration Soak::ownDelaySince(TimePoint time) const
+{
+    Duration sum {};
+    for (auto each = ownDelays_.rbegin(); each != ownDelays_.rend() && each->first >= time; ++each)
+        sum += each->second;
+    return sum;
 }
 
 bool Soak::isServedEverywhere()
@@ -381,8 +515,13 @@
 
 void Soak::runFor(Milliseconds time)
 {
+    const TimePoint begun = BootClock::now();
     loop_.restart();
     loop_.run_for(time);
+    const TimePoint now = BootClock::now();
+    if (now - begun - time > noticedDelay)
+        ownDelays_.emplace_back(now, now - begun - time);
+    cuts_.judge(false);
 }
 
 // Nobody can take the keys of a zone then.
@@ -412,6 +551,8 @@
     };
     if (!waitUntilServed(startTime))
         promises_.broken("not served after the start");
+    startCallers();
+    playPlannedWork();
     const TimePoint end = BootClock::now() + options_.length;
     while (BootClock::now() < end) {
         runFor(requestInterval);
@@ -427,13 +568,18 @@
     emptyAllZones();
     if (!waitUntilServed(recovery))
         promises_.broken("not served everywhere again after all zones were taken out");
+    cuts_.judge(true);
     return promises_.breaks();
 }
 
 std::string Soak::summary() const
 {
     return fmt::format(
-        "{} requests, {} ran, {} served", requests_, promises_.runCount(), promises_.servedCount());
+        "{} requests, {} ran, {} served; {}; {} without an answer in time, {} answers spoiled, the "
+        "soak was late {} times, {} ms",
+        requests_, promises_.runCount(), promises_.servedCount(), cuts_.summary(), timeouts_,
+        spoiler_.count(), ownDelays_.size(),
+        std::chrono::duration_cast<Milliseconds>(ownDelaySince(TimePoint())).count());
 }
 
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "soak/answerspoiler.h"
+#include "soak/cuts.h"
+#include "soak/keptcaller.h"
 #include "soak/machine.h"
 #include "soak/promises.h"
 
@@ -9,7 +12,9 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonfield::soak {
@@ -52,10 +57,29 @@
     };
     using Maker = std::function<Fault(Machine& machine)>;
 
+    // A planned stop that is due later.
+    struct PlannedStop {
+        TimePoint at;
+        Machine* machine = nullptr;
+        bool isStarved = false;
+    };
+
+    void startCallers();
+    HttpRequest makeKeptRequest(bool isPipelined);
+    void noteCut(const Machine& machine, const KeptCaller::Cut& what);
+    Duration ownDelaySince(TimePoint time) const;
+
     void serve(Machine& machine, StandInServer& server);
     Promises::Servers othersOf(const StandInServer& server) const;
     void putConfiguration(int version);
     void begin(const Maker& make);
+    void add(Fault fault, Machine& machine);
+    void playPlannedWork();
+    void beginPlannedWork();
+    void planRollingStop();
+    void beginPlannedStops();
+    Fault slowServer(Machine& machine);
+    Fault reload(Machine& machine);
     void healDue(bool isAll);
     void noteReach(const Fault& fault);
     void takeZoneOut(const std::string& zone);
@@ -64,7 +88,8 @@
     void checkZone(const Machine& machine, const HttpRequest& request);
     void step();
     void sendRequest();
-    void ended(const HttpRequest& request, TimePoint sentAt, const CallResult& result);
+    void ended(
+        const Machine& machine, const HttpRequest& request, TimePoint sentAt, const CallResult& result);
     void checkDaemons();
     bool isServedEverywhere();
     void runFor(Milliseconds time);
@@ -80,10 +105,17 @@
     SoakOptions options_;
     std::mt19937_64 random_; // Of the faults.
     std::mt19937_64 traffic_; // Of the requests.
+    std::mt19937_64 keptTraffic_; // Of those on kept connections.
     asio::io_context loop_ { 1 };
     Promises promises_;
+    Cuts cuts_ { promises_ };
+    AnswerSpoiler spoiler_;
     std::unique_ptr<StandInStore> store_;
     std::vector<std::unique_ptr<Machine>> machines_;
+    std::vector<std::unique_ptr<KeptCaller>> keptCallers_;
+    std::vector<PlannedStop> plannedStops_;
+    std::map<const Machine*, TimePoint> stoppedAt_; // By SIGTERM, last.
+    std::vector<std::pair<TimePoint, Duration>> ownDelays_; // When the soak itself was late, and by how much.
     std::list<Fault> faults_;
     std::set<const Machine*> busy_; // Whose daemon or server is not up, by our doing.
     TimePoint lastHarm_;
@@ -92,6 +124,7 @@
     TimePoint nextFault_;
     int version_ = 1;
     int64_t requests_ = 0;
+    int64_t timeouts_ = 0;
 };
 
 }
--- a/tests/standins/faultproxy.cpp
+++ b/tests/standins/faultproxy.cpp
@@ -78,7 +78,8 @@
         bool isTowardsTarget;
         asio::steady_timer timer;
         std::array<char, bufferSize> buffer {};
-        size_t length = 0;
+        std::string bytes; // To be passed on.
+        bool isLast = false;
     };
 
     void read(Direction& direction)
@@ -87,7 +88,9 @@
             [self = shared_from_this(), &direction](std::error_code error, size_t length) {
                 if (error || !self->proxy_)
                     return self->end();
-                direction.length = length;
+                direction.bytes.assign(direction.buffer.data(), length);
+                const auto& filter = self->proxy_->filter_;
+                direction.isLast = !direction.isTowardsTarget && filter && !filter(direction.bytes);
                 self->wait(direction, self->proxy_->delay_);
             });
     }
@@ -111,9 +114,9 @@
 
     void write(Direction& direction)
     {
-        asio::async_write(direction.sink, asio::buffer(direction.buffer, direction.length),
+        asio::async_write(direction.sink, asio::buffer(direction.bytes),
             [self = shared_from_this(), &direction](std::error_code error, size_t) {
-                if (error)
+                if (error || direction.isLast)
                     return self->end();
                 self->read(direction);
             });
@@ -146,6 +149,13 @@
 
 FaultProxy::~FaultProxy()
 {
+    stop();
+}
+
+void FaultProxy::stop()
+{
+    std::error_code ignored;
+    acceptor_.close(ignored);
     for (const auto& weak : sessions_) {
         if (const auto session = weak.lock())
             session->detach();
@@ -155,7 +165,7 @@
 void FaultProxy::accept()
 {
     acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
-        if (error)
+        if (error || !acceptor_.is_open())
             return;
         const auto isOver = [](const std::weak_ptr<Session>& each) { return each.expired(); };
         sessions_.erase(std::remove_if(sessions_.begin(), sessions_.end(), isOver), sessions_.end());
--- a/tests/standins/faultproxy.h
+++ b/tests/standins/faultproxy.h
@@ -6,7 +6,10 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 
+#include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonfield {
@@ -28,6 +31,14 @@
 
     void resetOpen();
 
+    // Sees what the target sends before it is passed on, and may change it. False ends the connection behind
+    // it.
+    using AnswerFilter = std::function<bool(std::string& bytes)>;
+    void setAnswerFilter(AnswerFilter filter) { filter_ = std::move(filter); }
+
+    // Stops listening and closes all connections.
+    void stop();
+
 private:
     class Session;
 
@@ -37,6 +48,7 @@
     asio::ip::tcp::acceptor acceptor_;
     asio::ip::tcp::endpoint target_;
     std::vector<std::weak_ptr<Session>> sessions_;
+    AnswerFilter filter_;
     Milliseconds delay_ { 0 };
     bool isCutToTarget_ = false;
     bool isCutFromTarget_ = false;
