Http: a caller that leaves behind many requests keeps no connection

A request whose caller has left is dropped without an answer since a late loop looks at the connection before it sends one on. With 32 of them waiting on one connection nothing more was read there, so its end was never read: the connection stayed for good, and each planned stop lasted to its last moment.

Whoever finds that the caller has left now ends the connection as well.

Before: ACallerThatLeavesBehindManyRequestsKeepsNoConnection waited in vain for its end.

--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logger.h"
 
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <nlohmann/json.hpp>
 
@@ -252,7 +253,11 @@
     if (!server_)
         return true;
     pollfd state { socket_.native_handle(), POLLRDHUP, 0 };
-    return ::poll(&state, 1, 0) > 0;
+    if (::poll(&state, 1, 0) <= 0)
+        return false;
+    // The end may lie behind more than is read while requests wait.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->leave(); });
+    return true;
 }
 
 void HttpServerConnection::closeIfIdle(ConnectionEnd cause)
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -272,6 +272,24 @@
     LONGS_EQUAL(1, countOf(peer.received(), "served"));
 }
 
+TEST(HttpServer, ACallerThatLeavesBehindManyRequestsKeepsNoConnection)
+{
+    HttpServer forgetful(loop, [this](const auto& exchange) {
+        if (!exchange->hasCallerLeft())
+            exchanges.push_back(exchange);
+    });
+    CHECK(forgetful.listen(drainedAddress).ok());
+    {
+        RawPeer leaving(loop);
+        leaving.connectWithoutReading(drainedAddress, smallReceiveBuffer);
+        for (int i = 0; i < 40; ++i)
+            leaving.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    CHECK(runUntil(loop, [&forgetful] { return forgetful.openConnections() == 1; }));
+    CHECK(runUntil(loop, [&forgetful] { return forgetful.openConnections() == 0; }));
+    LONGS_EQUAL(0, exchanges.size());
+}
+
 TEST(HttpServer, TheLastAnswerOfAConnectionIsWholeThoughMoreWasSentBehindIt)
 {
     RawPeer slow(loop);
