--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -104,20 +104,23 @@
     });
 }
 
-// Reads what has arrived. Nothing is read before it is handled, so that it can be seen in the socket until
-// then.
-void HttpServerConnection::receive()
+// Reads some of what has arrived; false when that is nothing. Nothing is read before it is handled, so that
+// it can be seen in the socket until then.
+bool HttpServerConnection::receive()
 {
     std::array<char, chunkBytes> chunk;
     std::error_code error;
     const size_t size = socket_.read_some(asio::buffer(chunk), error);
     if (error == asio::error::would_block)
-        return;
-    if (error)
-        return leave();
+        return false;
+    if (error) {
+        leave();
+        return true;
+    }
     if (!hasEnded_)
         buffer_.append(chunk.data(), size);
     parse();
+    return true;
 }
 
 // Parses what was read, as far as further requests may wait.
@@ -315,9 +318,10 @@
         return;
     if (!isInMessage_)
         return closeIfIdle(ConnectionEnd::Idle);
+    const auto isOverdue = [this, &isTimeUp] { return isTimeUp() && isInMessage_ && waiting_.empty(); };
     // The rest of the request may have arrived.
-    receive();
-    if (isTimeUp() && isInMessage_ && waiting_.empty())
+    while (isOverdue() && receive()) { }
+    if (isOverdue())
         close(ConnectionEnd::Idle);
 }
 
--- a/src/http/httpserverconnection.h
+++ b/src/http/httpserverconnection.h
@@ -44,7 +44,7 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void read();
-    void receive();
+    bool receive();
     void parse();
     void accept();
     void refuse(int status);
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -133,6 +133,13 @@
         CHECK(server.listen(serverAddress).ok());
         caller.connect(serverAddress);
     }
+
+    void setHeaderTimeout(Milliseconds time)
+    {
+        HttpServerLimits limits;
+        limits.headerTimeout = time;
+        server.setLimits(limits);
+    }
 };
 
 TEST(HttpServer, RequestsSentAheadAreAnsweredInTheirOrder)
@@ -290,6 +297,23 @@
     LONGS_EQUAL(0, exchanges.size());
 }
 
+// The loop is late: the rest of the request has arrived when the end of its time is handled.
+TEST(HttpServer, TheEndOfARequestsTimeCutsNoneThatHasArrived)
+{
+    setHeaderTimeout(Milliseconds(100));
+    RawPeer peer(loop);
+    peer.connect(serverAddress);
+    peer.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(largeAnswer) + "\r\n\r\n");
+    loop.restart();
+    loop.run_for(Milliseconds(20));
+    asio::steady_timer sender(loop, Milliseconds(20));
+    sender.async_wait([&peer](std::error_code) { peer.send(std::string(largeAnswer, 'x')); });
+    std::this_thread::sleep_for(Milliseconds(150));
+    CHECK(runUntil(loop, [&] { return exchanges.size() == 1 || peer.isClosed(); }));
+    LONGS_EQUAL(1, exchanges.size());
+    LONGS_EQUAL(largeAnswer, exchanges[0]->request().body.size());
+}
+
 TEST(HttpServer, TheLastAnswerOfAConnectionIsWholeThoughMoreWasSentBehindIt)
 {
     RawPeer slow(loop);
