Http: the time of the next request neither cuts an answer nor is forgotten

When a part of the next request had come while an answer was written, the end of that request's time closed the connection and cut the answer; connection-cut was silent, since nothing waited. When it ended before the answer was there, it was never set again, and the unfinished request held its connection for good.

The time begins anew when the answer is written, and a connection that is being written to is left alone.

Before: AnAnswerIsWrittenToItsEndThoughTheTimeOfTheNextRequestIsOver got 2,809,811 bytes of 10,000,000, ARequestThatStaysUnfinishedBehindASlowOneIsGivenUp waited in vain for its end.

--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -212,7 +212,7 @@
             if (self->shouldCloseAfterWrite_)
                 return self->linger();
             self->flush();
-            if (self->waiting_.empty() && !self->isInMessage_)
+            if (self->waiting_.empty())
                 self->armTimer();
             // Requests that had to wait for room are parsed now.
             self->parse();
@@ -282,7 +282,8 @@
     std::error_code ignored;
     const size_t unreadBytes = buffer_.size() + socket_.available(ignored);
     // What came behind the last answer counts as not read, and callers send it again.
-    const bool isLoss = !waiting_.empty() || (unreadBytes > 0 && cause != ConnectionEnd::LastAnswer);
+    const bool isLoss
+        = !waiting_.empty() || isWriting_ || (unreadBytes > 0 && cause != ConnectionEnd::LastAnswer);
     if (isLoss && cause != ConnectionEnd::CallerLeft)
         logLoss(cause, unreadBytes);
     socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -293,7 +294,7 @@
 {
     log(LogLevel::Warning, "connection-cut",
         { { "cause", nameOf(cause) }, { "unanswered", waiting_.size() }, { "unreadBytes", unreadBytes },
-            { "isInMessage", isInMessage_ }, { "hasEnded", hasEnded_ } });
+            { "isInMessage", isInMessage_ }, { "isWriting", isWriting_ }, { "hasEnded", hasEnded_ } });
 }
 
 // Bounds the time for the rest of a request, or the time that the connection may stay idle.
@@ -318,7 +319,8 @@
         return;
     if (!isInMessage_)
         return closeIfIdle(ConnectionEnd::Idle);
-    const auto isOverdue = [this, &isTimeUp] { return isTimeUp() && isInMessage_ && waiting_.empty(); };
+    const auto isOverdue
+        = [this, &isTimeUp] { return isTimeUp() && isInMessage_ && waiting_.empty() && !isWriting_; };
     // The rest of the request may have arrived.
     while (isOverdue() && receive()) { }
     if (isOverdue())
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -25,6 +25,7 @@
 const Address rawAddress { "127.0.0.1", 18'752 };
 const Address drainedAddress { "127.0.0.1", 18'757 };
 constexpr size_t largeAnswer = 40'000;
+constexpr size_t hugeAnswer = 10'000'000;
 constexpr int smallReceiveBuffer = 4'096;
 constexpr Milliseconds longTime { 10'000 };
 
@@ -314,6 +315,36 @@
     LONGS_EQUAL(largeAnswer, exchanges[0]->request().body.size());
 }
 
+TEST(HttpServer, AnAnswerIsWrittenToItsEndThoughTheTimeOfTheNextRequestIsOver)
+{
+    setHeaderTimeout(Milliseconds(50));
+    RawPeer slow(loop);
+    slow.connectWithoutReading(serverAddress, smallReceiveBuffer);
+    slow.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(runUntil(loop, [this] { return exchanges.size() == 1; }));
+    exchanges[0]->respond(answerWith(std::string(hugeAnswer, 'x')));
+    slow.send("GET /2 HTTP/1.1\r\n");
+    loop.restart();
+    loop.run_for(Milliseconds(200));
+    slow.read();
+    CHECK(runUntil(loop, [&slow] { return slow.isClosed(); }));
+    LONGS_EQUAL(hugeAnswer, std::count(slow.received().begin(), slow.received().end(), 'x'));
+}
+
+TEST(HttpServer, ARequestThatStaysUnfinishedBehindASlowOneIsGivenUp)
+{
+    setHeaderTimeout(Milliseconds(50));
+    RawPeer peer(loop);
+    peer.connect(serverAddress);
+    peer.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n");
+    CHECK(runUntil(loop, [this] { return exchanges.size() == 1; }));
+    loop.restart();
+    loop.run_for(Milliseconds(150));
+    exchanges[0]->respond(answerWith("slow"));
+    CHECK(runUntil(loop, [&peer] { return peer.isClosed(); }));
+    LONGS_EQUAL(1, countOf(peer.received(), "slow"));
+}
+
 TEST(HttpServer, TheLastAnswerOfAConnectionIsWholeThoughMoreWasSentBehindIt)
 {
     RawPeer slow(loop);
