Server reports: one that has arrived keeps its server from counting as silent

On a loop that was late by three report intervals the report and the end of the time without one were handled in one turn. The report set the timer anew, but its handler was queued already: the server counted as silent right after it had reported, all its running calls were cut (502), and it got no keys until its next report.

Before: AReportThatHasArrivedKeepsItsServerFromCountingAsSilent got 502 instead of 200.

--- a/src/sidecar/serverduty.cpp
+++ b/src/sidecar/serverduty.cpp
@@ -131,9 +131,11 @@
 
 void ServerDuty::watchSilence()
 {
-    silenceTimer_.expires_after(options_.settings.reportInterval * silentIntervals);
-    silenceTimer_.async_wait([this](std::error_code error) {
-        if (error)
+    const Milliseconds patience = options_.settings.reportInterval * silentIntervals;
+    silenceTimer_.expires_after(patience);
+    silenceTimer_.async_wait([this, patience](std::error_code error) {
+        // On a late loop a report may have been handled after the timer had expired.
+        if (error || BootClock::now() < server_->reportedAt + patience)
             return;
         server_->isSilent = true;
         changed("silence");
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -11,6 +11,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <thread>
 
 using namespace persimmonfield;
 
@@ -637,3 +638,23 @@
     CHECK(runUntil([&result] { return result.has_value(); }));
     LONGS_EQUAL(502, result->response.status);
 }
+
+// The loop is late: the report has arrived when the time after which its server counts as silent is over.
+TEST(Sidecar, AReportThatHasArrivedKeepsItsServerFromCountingAsSilent)
+{
+    begin({ "orders" });
+    serverOf(0).stopReports();
+    CHECK(runUntil([this] { return serverOf(0).isReportAnswered(); }));
+    serverOf(0).holdAnswers(true);
+    std::optional<CallResult> result;
+    instances[0]->caller.call(
+        orderRequest(), longTime, [&result](CallResult ended) { result = std::move(ended); });
+    CHECK(runUntil([this] { return runsOfAll() == 1; }));
+    serverOf(0).report();
+    std::this_thread::sleep_for(instances[0]->settings.reportInterval * 4);
+    CHECK(runUntil([this] { return serverOf(0).isReportAnswered(); }));
+    runFor(Milliseconds(50));
+    serverOf(0).answerHeld();
+    CHECK(runUntil([&result] { return result.has_value(); }));
+    LONGS_EQUAL(200, result->response.status);
+}
