Http: the end of listening survives a want of descriptors

An error other than an empty queue while the last connections were accepted closed the listener, and those that still waited were reset. It is logged, and tried again by the next call, which has closed idle connections meanwhile. Found by review; no test.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -95,8 +95,9 @@
     connection->start();
 }
 
-// The kernel would reset the connections that wait in the listen queue: they are accepted before.
-void HttpServer::stopListening()
+// The kernel would reset the connections that wait in the listen queue: they are accepted before. False when
+// that is to be tried again, since there is no descriptor for one.
+bool HttpServer::stopListening()
 {
     std::error_code error;
     acceptor_.non_blocking(true, error);
@@ -106,8 +107,13 @@
         if (!error)
             accepted(std::move(socket));
     }
+    if (error != asio::error::would_block) {
+        log(LogLevel::Warning, "accept-failed", { { "cause", error.message() } });
+        return false;
+    }
     acceptTimer_.cancel();
     acceptor_.close(error);
+    return true;
 }
 
 // Without free descriptors, accepting fails at once again and again.
@@ -115,15 +121,15 @@
 {
     acceptTimer_.expires_after(acceptPause);
     acceptTimer_.async_wait([this](std::error_code error) {
-        if (!error)
+        if (!error && acceptor_.is_open())
             accept();
     });
 }
 
 void HttpServer::finish()
 {
-    if (acceptor_.is_open())
-        return stopListening();
+    if (acceptor_.is_open() && stopListening())
+        return;
     const std::vector<std::shared_ptr<HttpServerConnection>> all(connections_.begin(), connections_.end());
     for (const auto& connection : all)
         connection->closeIfIdle(ConnectionEnd::Drained);
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -90,7 +90,7 @@
 
     void accept();
     void accepted(asio::ip::tcp::socket socket);
-    void stopListening();
+    bool stopListening();
     void pauseAccepting();
     void remove(const std::shared_ptr<HttpServerConnection>& connection) { connections_.erase(connection); }
 
