Sidecar: nothing begins at the gate once the callers' server has stopped listening

A request that came over a link after the stop had found nothing left to do was still begun, and its server's calls met a closed listener. It is refused as not run. Found by review; no test of its own.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -392,7 +392,11 @@
     if (isTimeUp)
         ingress_->giveUp();
     const bool isIdle = ingress_->isIdle() && gate_->isIdle();
-    isFinishing_ = isFinishing_ || isTimeUp || (isIdle && passed >= leastStopTime);
+    if (!isFinishing_ && (isTimeUp || (isIdle && passed >= leastStopTime))) {
+        isFinishing_ = true;
+        // What began now could make no calls any more.
+        gate_->stopBy(BootClock::now());
+    }
     if (isFinishing_)
         callers_.finish();
     const bool isFinished = isFinishing_ && callers_.openConnections() == 0 && ingress_->isIdle();
