--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -19,7 +19,7 @@
     mkdir -p "$directory"
     if "$binaries/tests/persimmonfield-soak" --program="$binaries/persimmonfield-platform" \
         --directory="$directory" --seed="$seed" --seconds="$seconds" >"$directory/soak.log" 2>&1; then
-        tail -n 1 "$directory/soak.log"
+        grep '^seed' "$directory/soak.log"
         rm -rf "$directory"
     else
         failed=1
