--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -22,12 +22,14 @@
     // A lost request or a request in an evacuated zone is only a violation if no other fault occurred for
     // this long before it.
     constexpr Milliseconds undisturbedTime { 3'000 };
+    constexpr Milliseconds crashingRequestInterval { 400 };
     constexpr Milliseconds minRecordedDelay { 20 };
     constexpr size_t keepAliveCallersPerMachine = 3;
     constexpr size_t keepAliveBodySize = 1'000;
     constexpr Milliseconds drainTime { 2'500 };
     constexpr Milliseconds evacuationTime { 5'000 };
     constexpr int lastKey = 65'535;
+    constexpr int crashingKey = 4'711;
     constexpr int statusOk = 200;
 
     nlohmann::json makeRoute(const char* name, const char* type, const char* prefix, const char* service)
@@ -81,6 +83,7 @@
                 checkEvacuation(own, request);
                 lostRequests_.recordRun(
                     *request.header("Persimmonfield-Request-Id"), BootClock::now() + own.workTime());
+                onRunBegun(*machines_[static_cast<size_t>(i)], request);
             });
             server.setRangeAcquiredHandler([this, &server](const StandInServer::HeldRange& range) {
                 invariants_.onRangeAcquired(server, range, otherServers(server));
@@ -154,6 +157,14 @@
     return Milliseconds(std::uniform_int_distribution<int>(least, most)(faultRandom_));
 }
 
+// Ends one of the faults that make the machine unavailable.
+void Soak::makeAvailable(const Machine& machine)
+{
+    const auto entry = unavailable_.find(&machine);
+    if (entry != unavailable_.end())
+        unavailable_.erase(entry);
+}
+
 Soak::Fault Soak::restartDaemon(Machine& machine, bool isPlanned)
 {
     unavailable_.insert(&machine);
@@ -168,7 +179,7 @@
             invariants_.reportViolation(machine.name() + " did not stop within its grace period");
         machine.killDaemon();
         machine.startDaemon();
-        unavailable_.erase(&machine);
+        makeAvailable(machine);
         return true;
     };
     return { isPlanned ? "stop" : "kill", begun + randomDuration(200, 1'500), heal, !isPlanned };
@@ -181,8 +192,10 @@
     const bool hasSameId = faultRandom_() % 3 == 0;
     return { "server-crash", BootClock::now() + randomDuration(100, 2'500),
         [this, &machine, hasSameId] {
-            machine.startServer(hasSameId);
-            unavailable_.erase(&machine);
+            // A replacement of the server that was under way may have started the next one already.
+            if (!machine.server().isUp())
+                machine.startServer(hasSameId);
+            makeAvailable(machine);
             return true;
         },
         true, Scope::None };
@@ -197,7 +210,7 @@
             machine.server().leave();
             machine.stopServer();
             machine.startServer(false);
-            unavailable_.erase(&machine);
+            makeAvailable(machine);
             return true;
         },
         true, Scope::None };
@@ -284,7 +297,7 @@
             machine.freezeDaemon(true);
             return Fault { "freeze", BootClock::now() + randomDuration(200, 3'000), [this, &machine] {
                               machine.freezeDaemon(false);
-                              unavailable_.erase(&machine);
+                              makeAvailable(machine);
                               return true;
                           } };
         },
@@ -439,6 +452,80 @@
             std::chrono::duration_cast<Milliseconds>(evacuatedFor).count()));
 }
 
+// Sends requests that crash servers: at first without other faults, then while daemons stop, are killed and
+// start again, and the configuration changes.
+void Soak::runCrashingRequests()
+{
+    faultRandom_.seed(options_.seed + 5);
+    const TimePoint begun = BootClock::now();
+    TimePoint next = begun + options_.duration / 4;
+    while (BootClock::now() < begun + options_.duration / 2 || !faults_.empty()) {
+        runFor(requestInterval);
+        sendRequest();
+        healDueFaults(false);
+        checkDaemons();
+        const TimePoint now = BootClock::now();
+        if (now >= begun + options_.duration / 2)
+            continue;
+        sendCrashingRequests();
+        if (now < next)
+            continue;
+        next = now + randomDuration(200, 1'500);
+        Machine& machine = *machines_[faultRandom_() % machines_.size()];
+        if (!isUnavailable(machine))
+            addFault(
+                faultRandom_() % 3 == 0 ? reload(machine) : restartDaemon(machine, faultRandom_() % 2 == 0),
+                machine);
+    }
+    faultRandom_.seed(options_.seed);
+    trafficRandom_.seed(options_.seed + 1);
+}
+
+// Repeats each request that crashes servers through a random machine.
+void Soak::sendCrashingRequests()
+{
+    const TimePoint now = BootClock::now();
+    if (now < nextCrashingRequests_)
+        return;
+    nextCrashingRequests_ = now + crashingRequestInterval;
+    for (const CrashingRequest& crashing : crashingRequests_) {
+        Machine& machine = *machines_[trafficRandom_() % machines_.size()];
+        const std::string id = fmt::format("r{}", ++requests_);
+        HttpRequest request = makeRequest(id, crashing.isCard(), crashingKey, false);
+        request.target = crashing.target();
+        crashingRequestSenders_[id] = &machine;
+        machine.caller().call(request, requestTimeout, [this, request](const CallResult& result) {
+            if (result.outcome == CallOutcome::Answered)
+                invariants_.onResponse(request, result.response);
+        });
+    }
+}
+
+// Crashes the server if the request that it has begun to work on is one that crashes servers.
+void Soak::onRunBegun(Machine& machine, const HttpRequest& request)
+{
+    for (CrashingRequest& crashing : crashingRequests_) {
+        if (crashing.target() != request.target)
+            continue;
+        const Machine& sender = *crashingRequestSenders_.at(*request.header("Persimmonfield-Request-Id"));
+        const auto violation = crashing.recordRun(BootClock::now(), isInTouch(machine) && isInTouch(sender));
+        if (violation)
+            invariants_.reportViolation(*violation);
+        asio::post(loop_, [this, &machine] {
+            if (machine.server().isUp())
+                addFault(crashServer(machine), machine);
+        });
+    }
+}
+
+// Whether no fault has applied to the machine's daemon for some time.
+bool Soak::isInTouch(const Machine& machine) const
+{
+    const auto disconnected = disconnectedAt_.find(&machine);
+    return disconnected == disconnectedAt_.end()
+        || BootClock::now() - disconnected->second >= undisturbedTime;
+}
+
 // Injects faults in bursts, with a longer pause after some of them.
 void Soak::step()
 {
@@ -562,6 +649,7 @@
         invariants_.reportViolation("requests are not served after the start");
     startCallers();
     runPlannedOperations();
+    runCrashingRequests();
     const TimePoint end = BootClock::now() + options_.duration;
     while (BootClock::now() < end) {
         runFor(requestInterval);
@@ -585,10 +673,11 @@
 {
     return fmt::format(
         "{} requests, {} ran, {} served; {}; {} timed out, {} responses corrupted, the test process ran late "
-        "{} times, {} ms in total",
+        "{} times, {} ms in total; requests that crash servers ran {} and {} times",
         requests_, invariants_.runCount(), invariants_.servedCount(), lostRequests_.summary(), timeouts_,
         corrupter_.count(), schedulingDelays_.size(),
-        std::chrono::duration_cast<Milliseconds>(schedulingDelaySince(TimePoint())).count());
+        std::chrono::duration_cast<Milliseconds>(schedulingDelaySince(TimePoint())).count(),
+        crashingRequests_.front().runs(), crashingRequests_.back().runs());
 }
 
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "soak/crashingrequest.h"
 #include "soak/invariantchecker.h"
 #include "soak/keepalivecaller.h"
 #include "soak/lostrequestchecker.h"
@@ -86,6 +87,10 @@
     void endEvacuation(const std::string& zone);
     void evacuateAllZones();
     void checkEvacuation(const Machine& machine, const HttpRequest& request);
+    void runCrashingRequests();
+    void sendCrashingRequests();
+    void onRunBegun(Machine& machine, const HttpRequest& request);
+    bool isInTouch(const Machine& machine) const;
     void step();
     void sendRequest();
     void onCallEnded(
@@ -100,6 +105,7 @@
     Fault injectStoreFault(int kind);
     Fault injectNetworkFault(FaultProxy& proxy, const std::string& name);
     Milliseconds randomDuration(int least, int most);
+    void makeAvailable(const Machine& machine);
     bool isUnavailable(const Machine& machine) const { return unavailable_.count(&machine) > 0; }
 
     SoakOptions options_;
@@ -116,8 +122,13 @@
     std::vector<PlannedStop> plannedStops_;
     std::map<const Machine*, TimePoint> stoppedAt_; // Time of the last SIGTERM.
     std::vector<std::pair<TimePoint, Duration>> schedulingDelays_; // When the test ran late, and by how much.
+    std::vector<CrashingRequest> crashingRequests_ { CrashingRequest("/orders/crash"),
+        CrashingRequest("/cards/crash") };
+    std::map<std::string, const Machine*> crashingRequestSenders_; // Ingress machine by request id.
+    TimePoint nextCrashingRequests_;
     std::list<Fault> faults_;
-    std::set<const Machine*> unavailable_; // The test has stopped their daemon or server.
+    // The test has stopped their daemon or server; one entry for each of the faults that did.
+    std::multiset<const Machine*> unavailable_;
     TimePoint lastDisruption_;
     std::map<const Machine*, TimePoint> disconnectedAt_; // When a fault last applied to their daemon.
     std::map<std::string, TimePoint> evacuatedZones_; // Start of each evacuation.
