Sidecar: a crash of the server is told from a lost connection, and logged with what it interrupted

A call to a server is lost for many reasons: a reset, an answer cut short, a crash. The logs could not tell them apart, nor which calls were in flight together. After a lost call the gate now tries one new connection; if that is refused, or a new incarnation has reported, the server has crashed: server-crashed names the requests that it was working on, and server_crashes_total counts it.

--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -60,12 +60,16 @@
     : options_(std::move(options))
     , client_(*options_.loop, clientOptions(options_))
     , timer_(*options_.loop)
+    , crashDetector_(*options_.loop, options_.settings.serverAddress)
 {
 }
 
 void ServerGate::setServer(std::optional<GatedServer> server)
 {
     const bool isDifferentIncarnation = !server || !server_ || server->incarnation != server_->incarnation;
+    const bool hasRestarted = server && server_ && isDifferentIncarnation && !server_->drainingSince;
+    if (hasRestarted && !running_.empty())
+        reportCrash(BootClock::now());
     server_ = std::move(server);
     if (isDifferentIncarnation) {
         client_.closeAll();
@@ -312,7 +316,7 @@
     const auto found = running_.find(id);
     if (found == running_.end())
         return;
-    const RunningCall running = std::move(found->second);
+    RunningCall running = std::move(found->second);
     running_.erase(found);
     const TimePoint now = BootClock::now();
     const Duration work = now - running.startedAt;
@@ -320,16 +324,53 @@
         unreachableUntil_ = now + unreachableBackoff;
     options_.counters->histogram("server_call_seconds").observe(work);
     const bool hasAnswered = result.outcome == CallOutcome::Answered;
+    const bool isLost = result.outcome == CallOutcome::Lost;
     Reply reply = replyFor(std::move(result));
     if (hasAnswered && reply.isNotRun())
         refusedRequests_.push_back({ running.call.request.requestId, running.call.deadline + refusedMargin });
     if (reply.isAnswer)
         recordWork(running.call.request.route, work);
     logCall(running, work, reply);
-    answer(running.call, std::move(reply));
+    if (isLost && running.startedAt > crashedAt_)
+        checkForCrash(std::move(running), std::move(reply));
+    else
+        answer(running.call, std::move(reply));
     startQueuedCalls();
 }
 
+// The reply is given after the check, so that the calls that were lost together are known by then.
+void ServerGate::checkForCrash(RunningCall lost, Reply reply)
+{
+    lostCalls_.push_back({ std::move(lost), std::move(reply) });
+    if (lostCalls_.size() == 1)
+        crashDetector_.check([this](bool hasCrashed) { onCrashChecked(hasCrashed); });
+}
+
+void ServerGate::onCrashChecked(bool hasCrashed)
+{
+    if (hasCrashed)
+        reportCrash(BootClock::now());
+    for (LostCall& lost : std::exchange(lostCalls_, {}))
+        answer(lost.running.call, std::move(lost.reply));
+    startQueuedCalls();
+}
+
+// Logs the calls that the server was working on as possible causes of its crash.
+void ServerGate::reportCrash(TimePoint now)
+{
+    nlohmann::json requests = nlohmann::json::array();
+    for (const LostCall& lost : lostCalls_)
+        requests.push_back(lost.running.call.request.requestId);
+    for (const auto& [id, running] : running_) {
+        if (client_.hasSent(running.httpCall) && running.startedAt > crashedAt_)
+            requests.push_back(running.call.request.requestId);
+    }
+    crashedAt_ = now;
+    options_.counters->counter("server_crashes_total")++;
+    log(LogLevel::Warning, "server-crashed",
+        { { "server", server_ ? server_->incarnation.id : "" }, { "requests", std::move(requests) } });
+}
+
 bool ServerGate::wasRefused(const std::string& requestId, TimePoint now)
 {
     while (!refusedRequests_.empty() && refusedRequests_.front().until <= now)
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -4,6 +4,7 @@
 #include "http/httpclient.h"
 #include "limits/loadmeter.h"
 #include "messages/reply.h"
+#include "sidecar/crashdetector.h"
 #include "sidecar/evacuatedzones.h"
 #include "sidecar/protocoladapter.h"
 #include "sidecar/sidecarsettings.h"
@@ -19,6 +20,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 namespace persimmonfield {
 
@@ -83,7 +85,7 @@
     // run or wait, or, if it is higher, the load that requests for keys offered, including those refused for
     // lack of capacity.
     double busyness(TimePoint now) const { return std::max(busyness_.mean(now), offeredLoad_.mean(now)); }
-    bool isIdle() const { return waiting_.empty() && running_.empty(); }
+    bool isIdle() const { return waiting_.empty() && running_.empty() && lostCalls_.empty(); }
 
 private:
     // Queue order: by priority, then by the latest start that still allows an answer within the latency
@@ -108,6 +110,12 @@
         std::optional<Duration> zoneEvacuatedFor; // At its start, from EvacuatedZones::evacuatedFor.
     };
 
+    // A call that was lost, whose reply waits until it is known whether the server has crashed.
+    struct LostCall {
+        RunningCall running;
+        Reply reply;
+    };
+
     // A request that the server refused, and the time until which it may be retried here.
     struct RefusedRequest {
         std::string requestId;
@@ -124,6 +132,9 @@
     Duration coldRateDelay(TimePoint now);
     void start(CallId id, GateCall call, TimePoint now);
     void onCallEnded(CallId id, CallResult result);
+    void checkForCrash(RunningCall lost, Reply reply);
+    void onCrashChecked(bool hasCrashed);
+    void reportCrash(TimePoint now);
     bool wasRefused(const std::string& requestId, TimePoint now);
     void logCall(const RunningCall& running, Duration work, const Reply& reply) const;
     Reply replyFor(CallResult result);
@@ -145,6 +156,9 @@
     CallId nextId_ = 1;
     std::map<Rank, GateCall> waiting_;
     std::map<CallId, RunningCall> running_;
+    CrashDetector crashDetector_;
+    std::vector<LostCall> lostCalls_; // Wait for the crash detector.
+    TimePoint crashedAt_; // All calls that were started before have been reported.
     std::deque<TimePoint> recentStarts_; // Starts within the last second.
     std::deque<RefusedRequest> refusedRequests_;
     std::map<std::string, Duration> averageWork_; // Moving averages, by route.
