Sidecar: requests that crash servers are quarantined over the fleet

Each repeat is a new request through any instance; a gate forgot the call that it had lost, and nobody connected the crashes.

The gate beside a server that crashed makes suspects of the calls in flight, tells the gates of the other servers of the service before it replies, and writes what is quarantined into its entry, so that restarted and new instances know it too. Ingress and gates refuse a quarantined request as not run, with the rest of the term as Retry-After. Quarantine is the class that persimmonfieldd uses: it now counts runs in flight together once, blames the suspect with the most crashes, is cleared by an answer, and lengthens the term with each crash (5 s, then eightfold) instead of a fixed 60 s. Its test RefusesARequestAfterTwoCrashesUntilTheRetentionEnds expected the fixed term and that the suspect is forgotten with it; it is replaced by RefusesARequestAfterTwoCrashesUntilTheTermEnds with the same checks on the new term, and five more.

--- a/src/daemon/calleringress.cpp
+++ b/src/daemon/calleringress.cpp
@@ -398,7 +398,7 @@
 void CallerIngress::recordCrash(const std::string& fingerprint, const std::string& crashId)
 {
     std::lock_guard lock(mutex_);
-    quarantine_.recordCrash(fingerprint, crashId, BootClock::now());
+    quarantine_.recordCrash(crashId, { { fingerprint } }, BootClock::now());
 }
 
 // Hashes the body only while the quarantine is not empty, which is rare.
@@ -412,7 +412,7 @@
     }
     const std::string fingerprint = fingerprintOf(pending);
     std::lock_guard lock(mutex_);
-    return quarantine_.isQuarantined(fingerprint, BootClock::now());
+    return quarantine_.refusedFor(fingerprint, BootClock::now()) > Duration::zero();
 }
 
 std::string CallerIngress::fingerprintOf(const PendingRequest& pending)
--- a/src/routing/quarantine.cpp
+++ b/src/routing/quarantine.cpp
@@ -2,39 +2,119 @@
 
 #include "base/hashing.h"
 
+#include <algorithm>
+
 namespace persimmonfield {
 namespace {
 
-    constexpr size_t quarantineThreshold = 2;
+    constexpr int quarantineThreshold = 2;
+    constexpr int termFactor = 8;
+    constexpr std::chrono::hours maxTerm { 24 };
     // Every request in flight at a crash becomes a suspect although only one is at fault. This bounds the
     // memory they use.
     constexpr size_t maxSuspects = 10'000;
+    constexpr size_t maxRecentCrashes = 1'000;
+
+}
 
+// Of the requests in flight, the one that has crashed the most servers before is the most likely cause, so
+// the crash counts against the others only if no server has crashed under any of them.
+std::vector<std::string> Quarantine::recordCrash(
+    const std::string& crashId, const std::vector<Run>& runs, TimePoint now)
+{
+    expire(now);
+    if (isKnownCrash(crashId))
+        return {};
+    recentCrashes_.emplace_back(now, crashId);
+    if (recentCrashes_.size() > maxRecentCrashes)
+        recentCrashes_.pop_front();
+    const int most = mostCrashes(runs, now);
+    std::vector<std::string> quarantined;
+    for (const Run& run : runs) {
+        const auto found = suspects_.find(run.fingerprint);
+        if (found == suspects_.end()) {
+            if (suspects_.size() < maxSuspects)
+                suspects_[run.fingerprint] = { 1, now };
+            continue;
+        }
+        Suspect& suspect = found->second;
+        const bool hasBegunSince = now - run.age >= suspect.lastCrash;
+        if (!hasBegunSince || suspect.crashes < most)
+            continue;
+        ++suspect.crashes;
+        suspect.lastCrash = now;
+        if (suspect.crashes >= quarantineThreshold)
+            quarantined.push_back(run.fingerprint);
+    }
+    return quarantined;
 }
 
-void Quarantine::recordCrash(const std::string& fingerprint, const std::string& crashId, TimePoint now)
+void Quarantine::recordCrashes(const std::string& fingerprint, int crashes, TimePoint now)
 {
     expire(now);
     if (suspects_.size() >= maxSuspects && suspects_.count(fingerprint) == 0)
         return;
     Suspect& suspect = suspects_[fingerprint];
-    suspect.crashIds.insert(crashId);
-    suspect.lastCrash = now;
+    if (suspect.crashes < crashes)
+        suspect = { crashes, now };
 }
 
-bool Quarantine::isQuarantined(const std::string& fingerprint, TimePoint now) const
+Duration Quarantine::refusedFor(const std::string& fingerprint, TimePoint now) const
 {
     const auto found = suspects_.find(fingerprint);
-    if (found == suspects_.end() || now - found->second.lastCrash >= retention)
-        return false;
-    return found->second.crashIds.size() >= quarantineThreshold;
+    if (found == suspects_.end())
+        return Duration::zero();
+    return std::max(Duration::zero(), found->second.lastCrash + term(found->second.crashes) - now);
+}
+
+int Quarantine::crashes(const std::string& fingerprint) const
+{
+    const auto found = suspects_.find(fingerprint);
+    return found == suspects_.end() ? 0 : found->second.crashes;
 }
 
 void Quarantine::expire(TimePoint now)
 {
     for (auto suspect = suspects_.begin(); suspect != suspects_.end();)
-        suspect
-            = now - suspect->second.lastCrash >= retention ? suspects_.erase(suspect) : std::next(suspect);
+        suspect = now >= expiry(suspect->second) ? suspects_.erase(suspect) : std::next(suspect);
+    while (!recentCrashes_.empty() && now - recentCrashes_.front().first >= suspectRetention)
+        recentCrashes_.pop_front();
+}
+
+bool Quarantine::isKnownCrash(const std::string& crashId) const
+{
+    return std::any_of(recentCrashes_.begin(), recentCrashes_.end(),
+        [&crashId](const auto& crash) { return crash.second == crashId; });
+}
+
+// The highest number of crashes among the requests that have begun since their last one. A request that was
+// running elsewhere when another run of it was in flight at a crash has not been repeated.
+int Quarantine::mostCrashes(const std::vector<Run>& runs, TimePoint now) const
+{
+    int most = 0;
+    for (const Run& run : runs) {
+        const auto found = suspects_.find(run.fingerprint);
+        if (found != suspects_.end() && now - run.age >= found->second.lastCrash)
+            most = std::max(most, found->second.crashes);
+    }
+    return most;
+}
+
+Duration Quarantine::term(int crashes)
+{
+    if (crashes < quarantineThreshold)
+        return Duration::zero();
+    Duration term = firstTerm;
+    for (int i = quarantineThreshold; i < crashes && term < maxTerm; ++i)
+        term *= termFactor;
+    return std::min<Duration>(term, maxTerm);
+}
+
+TimePoint Quarantine::expiry(const Suspect& suspect)
+{
+    if (suspect.crashes < quarantineThreshold)
+        return suspect.lastCrash + suspectRetention;
+    return suspect.lastCrash + term(suspect.crashes) + probation;
 }
 
 std::string requestFingerprint(const std::string& team, const std::string& route, const std::string& method,
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -181,12 +181,16 @@
     request.idempotent = routed.isIdempotent;
     request.priority = isServerCall ? serverCallPriority : routed.priority;
     request.callerService = options_.settings.service;
-    return std::nullopt;
+    return options_.quarantine->refusal(request, received.body, pending.arrivedAt);
 }
 
 void Ingress::attempt(const PendingRequestPtr& pending)
 {
     pending->isWaiting = false;
+    auto quarantined
+        = options_.quarantine->refusal(pending->request, pending->exchange->request().body, BootClock::now());
+    if (quarantined)
+        return finish(pending, *std::move(quarantined));
     const auto target = chooseTarget(*pending);
     if (target)
         return send(pending, *target);
@@ -335,8 +339,11 @@
     pending->cancelCall = nullptr;
     pending->isAwaitingReply = false;
     recordReply(*pending, target, BootClock::now() - sentAt, reply);
-    if (reply.isAnswer)
+    if (reply.isAnswer) {
+        const bool isLocalServer = target.peerAddress.empty();
+        options_.quarantine->onAnswer(pending->request, pending->exchange->request().body, isLocalServer);
         return finish(pending, std::move(reply));
+    }
     if (hasReachedServer(reply))
         ++pending->serverAttempts;
     else
@@ -369,7 +376,8 @@
     }
     if (reply.isAnswer)
         choice.succeeded(target.server, normalized(averageLatency_[pending.routed.routeName], latency), now);
-    else if (reply.isNotRun() && reply.reason == RefusalReason::QueueFull)
+    else if (reply.isNotRun()
+        && (reply.reason == RefusalReason::QueueFull || reply.reason == RefusalReason::Quarantined))
         choice.abandoned(target.server, Duration::zero(), now);
     else
         choice.failed(target.server, now);
@@ -390,7 +398,8 @@
     // Requests that wait for the owner of their key are limited by `waitEnd` instead.
     const bool hasTooManyGateRefusals
         = pending.gateRefusals >= maxGateRefusals && pending.routed.partition < 0;
-    if (BootClock::now() >= pending.deadline || hasTooManyGateRefusals)
+    const bool isQuarantined = reply.reason == RefusalReason::Quarantined;
+    if (BootClock::now() >= pending.deadline || hasTooManyGateRefusals || isQuarantined)
         return false;
     // A request that may have run is retried only if it is idempotent.
     if (!reply.isNotRun() && !pending.routed.isIdempotent)
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -37,6 +37,7 @@
     PeerCalls* peerCalls = nullptr;
     TeamLimits* teamLimits = nullptr;
     PeerLoadTracker* peerLoads = nullptr;
+    RequestQuarantine* quarantine = nullptr;
 };
 
 // Entry point for the requests of callers. Finds the service and server of each request, forwards it, retries
--- /dev/null
+++ b/src/sidecar/requestquarantine.cpp
@@ -0,0 +1,140 @@
+#include "sidecar/requestquarantine.h"
+
+#include "base/logger.h"
+#include "http/httpmessage.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr const char* hostHeader = "Host";
+    // Bounds the size of this instance's entry in the store.
+    constexpr size_t maxPublished = 32;
+    // Bounds the size of a message. A crash usually interrupts no more calls than a server has slots.
+    constexpr size_t maxReported = 256;
+
+    Milliseconds toMilliseconds(Duration duration)
+    {
+        return std::chrono::duration_cast<Milliseconds>(duration);
+    }
+
+    // Does not depend on where the request came in or on its key, which may differ when it is repeated.
+    std::string fingerprintOf(const peer::ForwardedRequest& request, const std::string& body)
+    {
+        const std::string* host = findHeader(request.headers, hostHeader);
+        return requestFingerprint(
+            request.team, host ? *host : std::string(), request.method, request.target, body);
+    }
+
+}
+
+RequestQuarantine::RequestQuarantine(RequestQuarantineOptions options)
+    : options_(std::move(options))
+{
+}
+
+std::optional<Reply> RequestQuarantine::refusal(
+    const peer::ForwardedRequest& request, const std::string& body, TimePoint now) const
+{
+    // Hashing the body is avoided while nothing is suspected, which is most of the time.
+    if (quarantine_.size() == 0)
+        return std::nullopt;
+    const Duration left = quarantine_.refusedFor(fingerprintOf(request, body), now);
+    if (left <= Duration::zero())
+        return std::nullopt;
+    Reply reply = notRun(RefusalReason::Quarantined, "backend servers crashed while they ran the request");
+    reply.retryAfter = std::max(Milliseconds(1), toMilliseconds(left));
+    return reply;
+}
+
+void RequestQuarantine::onServerCrash(const std::vector<InterruptedCall>& calls, TimePoint now)
+{
+    const std::string crashId = std::to_string(++crashes_);
+    std::vector<Quarantine::Run> runs;
+    for (const InterruptedCall& call : calls) {
+        if (runs.size() < maxReported)
+            runs.push_back({ fingerprintOf(call.request, call.body), now - call.startedAt });
+    }
+    const std::vector<std::string> quarantined = quarantine_.recordCrash(crashId, runs, now);
+    peer::PeerMessage message;
+    message.crashCounts = peer::CrashCounts {};
+    for (const Quarantine::Run& run : runs) {
+        const int crashes = quarantine_.crashes(run.fingerprint);
+        if (crashes > 0)
+            message.crashCounts->counts.push_back({ crashes, run.fingerprint });
+    }
+    if (!message.crashCounts->counts.empty())
+        options_.broadcast(message);
+    for (const std::string& fingerprint : quarantined) {
+        options_.counters->counter("quarantines_total")++;
+        log(LogLevel::Warning, "request-quarantined",
+            { { "fingerprint", fingerprint }, { "crashes", quarantine_.crashes(fingerprint) },
+                { "forMs", toMilliseconds(quarantine_.refusedFor(fingerprint, now)).count() } });
+        published_.insert(fingerprint);
+    }
+    if (!quarantined.empty())
+        options_.onChange();
+}
+
+void RequestQuarantine::onAnswer(
+    const peer::ForwardedRequest& request, const std::string& body, bool isLocalServer)
+{
+    if (quarantine_.size() == 0)
+        return;
+    const std::string fingerprint = fingerprintOf(request, body);
+    if (quarantine_.crashes(fingerprint) == 0)
+        return;
+    log(LogLevel::Info, "suspect-cleared",
+        { { "fingerprint", fingerprint }, { "crashes", quarantine_.crashes(fingerprint) },
+            { "request", request.requestId } });
+    clear(fingerprint);
+    if (!isLocalServer)
+        return;
+    peer::PeerMessage message;
+    message.crashCounts = peer::CrashCounts { { { 0, fingerprint } } };
+    options_.broadcast(message);
+}
+
+void RequestQuarantine::onCrashCounts(const peer::CrashCounts& message, TimePoint now)
+{
+    for (const peer::CrashCount& count : message.counts) {
+        if (count.crashes > 0)
+            quarantine_.recordCrashes(count.fingerprint, static_cast<int>(count.crashes), now);
+        else
+            clear(count.fingerprint);
+    }
+}
+
+void RequestQuarantine::onEntry(const stored::InstanceEntry& entry, TimePoint now)
+{
+    const bool isOwn = entry.name == options_.instance;
+    if (!entry.crashCounts || (isOwn && entry.incarnation == options_.incarnation))
+        return;
+    for (const stored::CrashCount& count : *entry.crashCounts) {
+        if (isOwn)
+            published_.insert(count.fingerprint);
+        quarantine_.recordCrashes(count.fingerprint, static_cast<int>(count.crashes), now);
+    }
+}
+
+std::vector<stored::CrashCount> RequestQuarantine::published() const
+{
+    std::vector<stored::CrashCount> counts;
+    for (const std::string& fingerprint : published_) {
+        const int crashes = quarantine_.crashes(fingerprint);
+        if (crashes > 0 && counts.size() < maxPublished)
+            counts.push_back({ crashes, fingerprint });
+    }
+    return counts;
+}
+
+void RequestQuarantine::clear(const std::string& fingerprint)
+{
+    quarantine_.recordAnswer(fingerprint);
+    if (published_.erase(fingerprint) > 0)
+        options_.onChange();
+}
+
+}
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -106,6 +106,8 @@
 // The reason why the request must not run here; std::nullopt if it may run.
 std::optional<Reply> ServerGate::refusal(const GateCall& call, TimePoint now) const
 {
+    if (auto quarantined = options_.quarantine->refusal(call.request, call.body, now))
+        return quarantined;
     if (wouldOutliveProcess(call, now))
         return notRun(RefusalReason::Stopping, stoppingDetail);
     if (!server_ || server_->service != call.request.service)
@@ -328,8 +330,10 @@
     Reply reply = replyFor(std::move(result));
     if (hasAnswered && reply.isNotRun())
         refusedRequests_.push_back({ running.call.request.requestId, running.call.deadline + refusedMargin });
-    if (reply.isAnswer)
+    if (reply.isAnswer) {
         recordWork(running.call.request.route, work);
+        options_.quarantine->onAnswer(running.call.request, running.call.body, true);
+    }
     logCall(running, work, reply);
     if (isLost && running.startedAt > crashedAt_)
         checkForCrash(std::move(running), std::move(reply));
@@ -338,7 +342,8 @@
     startQueuedCalls();
 }
 
-// The reply is given after the check, so that the calls that were lost together are known by then.
+// The reply is given after the check, so that a retry does not reach another server before the gate there has
+// been told of the crash.
 void ServerGate::checkForCrash(RunningCall lost, Reply reply)
 {
     lostCalls_.push_back({ std::move(lost), std::move(reply) });
@@ -355,20 +360,27 @@
     startQueuedCalls();
 }
 
-// Logs the calls that the server was working on as possible causes of its crash.
+// Reports the calls that the server was working on as possible causes of its crash.
 void ServerGate::reportCrash(TimePoint now)
 {
-    nlohmann::json requests = nlohmann::json::array();
+    std::vector<InterruptedCall> calls;
+    const auto addCall = [&calls](const RunningCall& each) {
+        calls.push_back({ each.call.request, each.call.body, each.startedAt });
+    };
     for (const LostCall& lost : lostCalls_)
-        requests.push_back(lost.running.call.request.requestId);
+        addCall(lost.running);
     for (const auto& [id, running] : running_) {
         if (client_.hasSent(running.httpCall) && running.startedAt > crashedAt_)
-            requests.push_back(running.call.request.requestId);
+            addCall(running);
     }
     crashedAt_ = now;
+    nlohmann::json requests = nlohmann::json::array();
+    for (const InterruptedCall& call : calls)
+        requests.push_back(call.request.requestId);
     options_.counters->counter("server_crashes_total")++;
     log(LogLevel::Warning, "server-crashed",
         { { "server", server_ ? server_->incarnation.id : "" }, { "requests", std::move(requests) } });
+    options_.quarantine->onServerCrash(calls, now);
 }
 
 bool ServerGate::wasRefused(const std::string& requestId, TimePoint now)
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -7,6 +7,7 @@
 #include "sidecar/crashdetector.h"
 #include "sidecar/evacuatedzones.h"
 #include "sidecar/protocoladapter.h"
+#include "sidecar/requestquarantine.h"
 #include "sidecar/sidecarsettings.h"
 
 #include <asio/io_context.hpp>
@@ -54,6 +55,7 @@
     std::function<std::optional<peer::KeyOwner>(int key)> otherOwner;
     // Called for each request for a key that the server owns.
     std::function<void(int key, TimePoint now)> onKey;
+    RequestQuarantine* quarantine = nullptr;
 };
 
 // Admission control and request queue of the backend server next to this instance. All requests to the server
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -69,6 +69,9 @@
     , zones_(settings_.evacuationTime)
     , transport_(loop, settings_.storeAddress)
     , store_(loop, transport_, protocol_.store)
+    , quarantine_({ settings_.name, incarnation_, &counters_,
+          [this](const peer::PeerMessage& message) { broadcastToService(message); },
+          [this] { publishEntry(); } })
     , callerServer_(loop, [this](const auto& exchange) { ingress_->handle(exchange); })
     , reportServer_(loop, [this](const auto& exchange) { serverMonitor_->handle(exchange); })
     , readinessServer_(loop, [this](const auto& exchange) { answerReadiness(exchange); })
@@ -80,7 +83,7 @@
     gate_ = std::make_unique<ServerGate>(ServerGateOptions { &loop_, &protocol_, settings_, &counters_,
         &zones_, [this](int key, TimePoint now) { return keys_ && keys_->mayRun(key, now); },
         [this](int key) { return directory_.otherOwner(settings_.service, key, settings_.name); },
-        [this](int key, TimePoint now) { keys_->recordRequest(key, now); } });
+        [this](int key, TimePoint now) { keys_->recordRequest(key, now); }, &quarantine_ });
     serverMonitor_
         = std::make_unique<ServerMonitor>(ServerMonitorOptions { &loop_, &protocol_, settings_, gate_.get(),
             [this](const ServerReport& report, const KeysCallback& done) { requestKeys(report, done); },
@@ -113,7 +116,7 @@
     teamLimits_ = std::make_unique<TeamLimits>(loop_, settings_.name, directory_, *network_, counters_);
     teamLimits_->setSlack(settings_.rateSlack);
     ingress_ = std::make_unique<Ingress>(IngressOptions { &loop_, &protocol_, settings_, &counters_,
-        &directory_, &zones_, gate_.get(), peerCalls_.get(), teamLimits_.get(), &peerLoads_ });
+        &directory_, &zones_, gate_.get(), peerCalls_.get(), teamLimits_.get(), &peerLoads_, &quarantine_ });
     transport_.setReachabilityHandler([this](bool isReachable) {
         log(LogLevel::Info, isReachable ? "store-regained" : "store-lost", {});
         store_.onReachabilityChanged(isReachable);
@@ -163,6 +166,7 @@
 void Sidecar::onFleet(const StorePage& page, bool isFullListing)
 {
     directory_.apply(page, isFullListing);
+    applyCrashCounts(page);
     for (const StoreObject& object : page.objects) {
         if (object.name == secretObject && object.value.is_object())
             startNetwork(object.value.value(secretMember, std::string()));
@@ -172,6 +176,19 @@
     onDirectoryChange();
 }
 
+// Applies the quarantines that the instances of the page have recorded in their entries.
+void Sidecar::applyCrashCounts(const StorePage& page)
+{
+    for (const auto& [name, entry] : directory_.instances()) {
+        const std::string objectName = instanceObjectName(name);
+        const bool isInPage = entry.value.crashCounts
+            && std::any_of(page.objects.begin(), page.objects.end(),
+                [&objectName](const StoreObject& object) { return object.name == objectName; });
+        if (isInPage)
+            quarantine_.onEntry(entry.value, BootClock::now());
+    }
+}
+
 // The first instance of the fleet creates the secret of the links.
 void Sidecar::joinFleet()
 {
@@ -218,6 +235,8 @@
     entry.peerAddress = settings_.peerAddress.text();
     entry.departing = isStopping_;
     entry.server = serverMonitor_->entry();
+    if (auto crashCounts = quarantine_.published(); !crashCounts.empty())
+        entry.crashCounts = std::move(crashCounts);
     entryPublisher_->publish(std::move(entry));
 }
 
@@ -266,6 +285,17 @@
         network_->send(link, { message, {} });
 }
 
+// Sends the message to the other instances next to servers of this instance's service.
+void Sidecar::broadcastToService(const peer::PeerMessage& message)
+{
+    for (const auto& [name, entry] : directory_.instances()) {
+        if (entry.value.service != settings_.service || name == settings_.name)
+            continue;
+        if (const LinkId link = network_->linkTo(entry.value.peerAddress))
+            network_->send(link, { message, {} });
+    }
+}
+
 // Each instance that learns of a change made by the operator notifies some random other instances, so that an
 // instance whose own watch has stopped delivering changes learns of it as well.
 void Sidecar::gossipChange(const std::string& kind, int64_t revision)
@@ -338,6 +368,8 @@
         teamLimits_->onShareGrant(*message.shareGrant);
     else if (message.storeChange)
         store_.catchUpTo(message.storeChange->kind, message.storeChange->revision);
+    else if (message.crashCounts)
+        quarantine_.onCrashCounts(*message.crashCounts, BootClock::now());
     else if (message.departure)
         onDeparture(link, *message.departure);
     else if (message.departureAck)
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -13,6 +13,7 @@
 #include "sidecar/peerloadtracker.h"
 #include "sidecar/peerrequesthandler.h"
 #include "sidecar/protocoladapter.h"
+#include "sidecar/requestquarantine.h"
 #include "sidecar/servergate.h"
 #include "sidecar/servermonitor.h"
 #include "sidecar/sidecarsettings.h"
@@ -69,6 +70,8 @@
     void notifyPlanners();
     void notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision);
     void gossipChange(const std::string& kind, int64_t revision);
+    void broadcastToService(const peer::PeerMessage& message);
+    void applyCrashCounts(const StorePage& page);
     void onFrame(LinkId link, Frame frame);
     void onDeparture(LinkId link, const peer::Departure& departure);
     void answerReadiness(const std::shared_ptr<HttpExchange>& exchange) const;
@@ -92,6 +95,7 @@
     std::unique_ptr<PeerRequestHandler> peerRequestHandler_;
     std::unique_ptr<TeamLimits> teamLimits_;
     PeerLoadTracker peerLoads_;
+    RequestQuarantine quarantine_;
     std::unique_ptr<ServerGate> gate_;
     std::unique_ptr<KeyRangeManager> keys_; // Null if the service is not divided by key.
     std::unique_ptr<ServerMonitor> serverMonitor_;
--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -76,25 +76,113 @@
     STRCMP_EQUAL("Accept", kept[0].name.c_str());
 }
 
-TEST_GROUP(Quarantine) {};
-
-TEST(Quarantine, RefusesARequestAfterTwoCrashesUntilTheRetentionEnds)
+TEST_GROUP(Quarantine)
 {
     Quarantine quarantine;
-    const TimePoint now { std::chrono::hours(1) };
+    TimePoint now { std::chrono::hours(1) };
+    int crashes = 0;
+
+    // A server crashes; the requests were in flight since `age` ago.
+    std::vector<std::string> crash(const std::vector<std::string>& fingerprints, Duration age = {})
+    {
+        std::vector<Quarantine::Run> runs;
+        for (const std::string& fingerprint : fingerprints)
+            runs.push_back({ fingerprint, age });
+        return quarantine.recordCrash("crash-" + std::to_string(++crashes), runs, now);
+    }
+
+    bool isRefused(const std::string& fingerprint) const
+    {
+        return quarantine.refusedFor(fingerprint, now) > Duration::zero();
+    }
+
+    void pass(Duration time)
+    {
+        now += time;
+    }
+};
+
+TEST(Quarantine, RefusesARequestAfterTwoCrashesUntilTheTermEnds)
+{
     const std::string request = requestFingerprint("a", "r", "POST", "/x", "body");
     CHECK(request != requestFingerprint("a", "r", "POST", "/xb", "ody"));
-    quarantine.recordCrash(request, "one/1", now);
-    quarantine.recordCrash(request, "one/1", now);
-    CHECK_FALSE(quarantine.isQuarantined(request, now));
-    quarantine.recordCrash(request, "two/1", now);
-    CHECK(quarantine.isQuarantined(request, now));
-    CHECK_FALSE(quarantine.isQuarantined(requestFingerprint("a", "r", "POST", "/x", "other"), now));
-    CHECK_FALSE(quarantine.isQuarantined(request, now + Quarantine::retention));
-    quarantine.expire(now + Quarantine::retention);
+    quarantine.recordCrash("one/1", { { request, {} } }, now);
+    quarantine.recordCrash("one/1", { { request, {} } }, now);
+    CHECK_FALSE(isRefused(request));
+    quarantine.recordCrash("two/1", { { request, {} } }, now);
+    CHECK(isRefused(request));
+    CHECK_FALSE(isRefused(requestFingerprint("a", "r", "POST", "/x", "other")));
+    pass(Quarantine::firstTerm);
+    CHECK_FALSE(isRefused(request));
+    pass(Quarantine::probation);
+    quarantine.expire(now);
     LONGS_EQUAL(0, quarantine.size());
 }
 
+TEST(Quarantine, EachFurtherCrashLengthensTheTerm)
+{
+    crash({ "a" });
+    crash({ "a" });
+    Duration term = quarantine.refusedFor("a", now);
+    for (int i = 0; i < 3; ++i) {
+        pass(term);
+        CHECK_FALSE(isRefused("a"));
+        crash({ "a" });
+        CHECK(quarantine.refusedFor("a", now) > term);
+        term = quarantine.refusedFor("a", now);
+    }
+}
+
+TEST(Quarantine, AnAnswerClearsASuspect)
+{
+    crash({ "popular" });
+    CHECK(quarantine.recordAnswer("popular"));
+    CHECK_FALSE(quarantine.recordAnswer("popular"));
+    crash({ "popular" });
+    CHECK_FALSE(isRefused("popular"));
+    crash({ "popular" });
+    CHECK(isRefused("popular"));
+    quarantine.recordAnswer("popular");
+    CHECK_FALSE(isRefused("popular"));
+}
+
+TEST(Quarantine, RunsThatCrashTogetherAreNoRepetition)
+{
+    crash({ "popular" }, Milliseconds(100));
+    pass(Milliseconds(10));
+    crash({ "popular" }, Milliseconds(100));
+    crash({ "popular" }, Milliseconds(100));
+    CHECK_FALSE(isRefused("popular"));
+    LONGS_EQUAL(1, quarantine.crashes("popular"));
+}
+
+TEST(Quarantine, ACrashCountsOnlyAgainstItsMostLikelyCause)
+{
+    crash({ "a", "b" });
+    pass(Milliseconds(1));
+    crash({ "a", "c" });
+    CHECK(isRefused("a"));
+    CHECK_FALSE(isRefused("b"));
+    pass(Quarantine::firstTerm);
+    crash({ "a", "b", "c" });
+    LONGS_EQUAL(3, quarantine.crashes("a"));
+    CHECK_FALSE(isRefused("b"));
+    CHECK_FALSE(isRefused("c"));
+}
+
+TEST(Quarantine, ReportsOfOtherInstancesCountOnceHoweverOftenTheyCome)
+{
+    quarantine.recordCrashes("a", 1, now);
+    quarantine.recordCrashes("a", 1, now);
+    CHECK_FALSE(isRefused("a"));
+    quarantine.recordCrashes("a", 2, now);
+    CHECK(isRefused("a"));
+    const Duration term = quarantine.refusedFor("a", now);
+    pass(Milliseconds(500));
+    quarantine.recordCrashes("a", 2, now);
+    CHECK(quarantine.refusedFor("a", now) < term);
+}
+
 TEST_GROUP(PrefixRouter)
 {
     std::shared_ptr<Configuration> byPrefix = std::make_shared<Configuration>();
--- a/tests/sidecar/cancelledcalls.cpp
+++ b/tests/sidecar/cancelledcalls.cpp
@@ -18,8 +18,8 @@
 const Address gateAddress { "127.0.0.1", 18'791 };
 const Address serverAddress { "127.0.0.1", 18'792 };
 
-ServerGateOptions gateOptions(
-    asio::io_context& loop, const ProtocolAdapter& protocol, Counters& counters, EvacuatedZones& zones)
+ServerGateOptions gateOptions(asio::io_context& loop, const ProtocolAdapter& protocol, Counters& counters,
+    EvacuatedZones& zones, RequestQuarantine& quarantine)
 {
     zones.apply({ {}, false, 1 }, true, BootClock::now());
     ServerGateOptions options;
@@ -28,6 +28,7 @@
     options.settings.serverAddress = serverAddress;
     options.counters = &counters;
     options.zones = &zones;
+    options.quarantine = &quarantine;
     return options;
 }
 
@@ -55,11 +56,12 @@
     Counters counters;
     const ProtocolAdapter protocol = platform::platformProtocol();
     EvacuatedZones zones { testTimeout };
+    RequestQuarantine quarantine { { "gate", "incarnation", &counters, {}, {} } };
     std::vector<std::string> forwarded; // Ids of the requests that arrived over the link.
     std::vector<std::string> runs; // Ids of the requests that reached the server.
     bool isClosed = false; // Whether the gate's side of the link was closed.
     HttpServer server { gateLoop, [this](const auto& exchange) { run(*exchange); } };
-    ServerGate gate { gateOptions(gateLoop, protocol, counters, zones) };
+    ServerGate gate { gateOptions(gateLoop, protocol, counters, zones, quarantine) };
     std::unique_ptr<PeerNetwork> gateNetwork;
     std::unique_ptr<PeerRequestHandler> peerRequestHandler;
     std::unique_ptr<PeerNetwork> network;
