Store, reports: an odd entry of another writer costs only itself

One entry that cannot be parsed refused its whole page, so that an instance listed again and again and followed nothing; one that is nested 100,000 deep overflowed the stack when the JSON library copied it, and the process ended; a secret that is no text, or a port out of range, was used as it came. All that parses foreign text now goes through parseJson (at most 64 levels, errors instead of exceptions), and pages and events are split into objects before they are parsed: an object whose value cannot be read has none, one that cannot be identified is left out and counted, the others hold. A log line comes once a revision, not with each listing.

Frames between instances are not covered: only holders of the fleet's secret send them.

--- a/src/config/configstore.cpp
+++ b/src/config/configstore.cpp
@@ -1,5 +1,6 @@
 #include "config/configstore.h"
 
+#include "base/boundedjson.h"
 #include "base/hashing.h"
 #include "store/resolvedwrite.h"
 
@@ -95,7 +96,7 @@
     if (!object.ok())
         return object.status();
     try {
-        return nlohmann::json::parse(object->value).get<stored::ConfigManifest>();
+        return parseJson(object->value).value().get<stored::ConfigManifest>();
     } catch (const std::exception& error) {
         return absl::DataLossError(error.what());
     }
--- a/src/gate/backendserver.cpp
+++ b/src/gate/backendserver.cpp
@@ -1,5 +1,7 @@
 #include "gate/backendserver.h"
 
+#include "base/boundedjson.h"
+
 #include <absl/strings/match.h>
 #include <fmt/format.h>
 #include <httplib.h>
@@ -136,7 +138,7 @@
     if (!result)
         return absl::UnavailableError(httplib::to_string(result.error()));
     try {
-        const json value = json::parse(result->body);
+        const json value = parseJson(result->body).value();
         return ServerHealth { value.at("process").get<std::string>(), value.at("cold").get<bool>(),
             value.at("bears").get<int>(), value.at("draining").get<bool>() };
     } catch (const std::exception& error) {
--- a/src/ownership/fleetview.cpp
+++ b/src/ownership/fleetview.cpp
@@ -1,5 +1,6 @@
 #include "ownership/fleetview.h"
 
+#include "base/boundedjson.h"
 #include "base/hashing.h"
 #include "base/logger.h"
 #include "config/configparser.h"
@@ -22,7 +23,7 @@
         auto fresh = std::make_shared<Known>();
         fresh->version = object.version;
         try {
-            (*fresh).*content = nlohmann::json::parse(object.value).get<Content>();
+            (*fresh).*content = parseJson(object.value).value().get<Content>();
         } catch (const std::exception& error) {
             log(LogLevel::Error, "stored-object-unreadable",
                 { { "name", object.name }, { "cause", error.what() } });
--- a/src/sidecar/fleetdirectory.cpp
+++ b/src/sidecar/fleetdirectory.cpp
@@ -1,10 +1,14 @@
 #include "sidecar/fleetdirectory.h"
 
+#include "base/address.h"
 #include "base/logger.h"
+#include "config/configuration.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/string_view.h>
+#include <fmt/format.h>
 
+#include <stdexcept>
 #include <utility>
 
 namespace persimmonfield {
@@ -13,10 +17,31 @@
     constexpr const char* instancePrefix = "instance.";
     constexpr const char* keyTablePrefix = "keys.";
 
+    constexpr int64_t maxSlots = 1'000'000;
+
+    // Throw if the value cannot be used although it can be parsed.
+    void validate(const stored::InstanceEntry& entry)
+    {
+        if (!entry.peerAddress.empty()) {
+            if (const auto address = parseAddress(entry.peerAddress); !address.ok())
+                throw std::invalid_argument(std::string(address.status().message()));
+        }
+        if (entry.server && (entry.server->slots < 0 || entry.server->slots > maxSlots))
+            throw std::invalid_argument(fmt::format("{} slots", entry.server->slots));
+    }
+
+    void validate(const stored::KeyTable& table)
+    {
+        for (const stored::KeyRange& range : table.ranges) {
+            if (range.first < 0 || range.last < range.first || range.last > lastKeyNumber)
+                throw std::invalid_argument(fmt::format("keys {} to {}", range.first, range.last));
+        }
+    }
+
     // Updates the map if the object is newer than the known one. Returns false when it cannot be parsed.
     template <typename Value>
     bool updateKnown(std::map<std::string, FleetDirectory::Versioned<Value>>& known, const std::string& name,
-        const StoreObject& object)
+        const StoreObject& object, std::map<std::string, int64_t>& unreadable)
     {
         const auto found = known.find(name);
         if (found != known.end() && found->second.revision >= object.revision)
@@ -26,11 +51,15 @@
             return true;
         }
         try {
-            known[name] = { object.value.get<Value>(), object.revision };
+            auto value = object.value.get<Value>();
+            validate(value);
+            known[name] = { std::move(value), object.revision };
             return true;
         } catch (const std::exception& error) {
-            log(LogLevel::Warning, "object-unreadable",
-                { { "kind", object.kind }, { "name", object.name }, { "cause", error.what() } });
+            // The object may be listed again and again.
+            if (std::exchange(unreadable[object.name], object.revision) != object.revision)
+                log(LogLevel::Warning, "object-unreadable",
+                    { { "kind", object.kind }, { "name", object.name }, { "cause", error.what() } });
             known.erase(name);
             return false;
         }
@@ -66,6 +95,8 @@
         for (auto table = tables_.begin(); table != tables_.end();)
             table = isGone(keyTableObjectName(table->first), table->second.revision) ? tables_.erase(table)
                                                                                      : std::next(table);
+        for (auto object = unreadable_.begin(); object != unreadable_.end();)
+            object = isGone(object->first, object->second) ? unreadable_.erase(object) : std::next(object);
         for (auto departure = departures_.begin(); departure != departures_.end();)
             departure = instance(departure->first) ? std::next(departure) : departures_.erase(departure);
         isLoaded_ = true;
@@ -80,10 +111,10 @@
     const std::string tables = keyTablePrefix;
     if (absl::StartsWith(object.name, instances)) {
         const std::string name = object.name.substr(instances.size());
-        updateKnown(instances_, name, object);
+        updateKnown(instances_, name, object, unreadable_);
         markDeparture(name);
     } else if (absl::StartsWith(object.name, tables)) {
-        updateKnown(tables_, object.name.substr(tables.size()), object);
+        updateKnown(tables_, object.name.substr(tables.size()), object, unreadable_);
     }
 }
 
--- a/src/sidecar/fleetdirectory.h
+++ b/src/sidecar/fleetdirectory.h
@@ -63,6 +63,7 @@
     Instances instances_;
     std::map<std::string, std::string> departures_; // Incarnation that announced its departure, by instance.
     std::map<std::string, Versioned<stored::KeyTable>> tables_; // By service.
+    std::map<std::string, int64_t> unreadable_; // Revisions of the objects that cannot be used, by name.
     bool isLoaded_ = false;
     int64_t version_ = 1;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -41,6 +41,14 @@
     // instances are closed after that.
     constexpr Milliseconds connectionCloseMargin { 600 };
 
+    // The secret of the links; empty if the object has none.
+    std::string secretOf(const StoreObject& object)
+    {
+        const auto secret = object.value.is_object() ? object.value.find(secretMember) : object.value.end();
+        return secret != object.value.end() && secret->is_string() ? secret->get<std::string>()
+                                                                   : std::string();
+    }
+
 }
 
 Sidecar::Builder& Sidecar::Builder::setSettings(SidecarSettings settings)
@@ -168,8 +176,8 @@
     directory_.apply(page, isFullListing);
     applyCrashCounts(page);
     for (const StoreObject& object : page.objects) {
-        if (object.name == secretObject && object.value.is_object())
-            startNetwork(object.value.value(secretMember, std::string()));
+        if (object.name == secretObject)
+            startNetwork(secretOf(object));
     }
     if (!isJoining_)
         joinFleet();
@@ -196,8 +204,8 @@
         return;
     const nlohmann::json value { { secretMember, randomHex(secretBytes) } };
     store_.write({ fleetKind, secretObject, value, 0 }, [this](const StoreWriteResult& result) {
-        if (result.object && result.object->value.is_object())
-            return startNetwork(result.object->value.value(secretMember, std::string()));
+        if (result.object)
+            return startNetwork(secretOf(*result.object));
         log(LogLevel::Info, "fleet-secret-not-written", { { "cause", result.detail } });
         secretTimer_.expires_after(secretRetryInterval);
         secretTimer_.async_wait([this](std::error_code error) {
--- a/src/store/objectclient.cpp
+++ b/src/store/objectclient.cpp
@@ -1,5 +1,7 @@
 #include "store/objectclient.h"
 
+#include "base/boundedjson.h"
+
 #include <fmt/format.h>
 #include <httplib.h>
 
@@ -36,7 +38,7 @@
             return { WriteOutcome::Refused, 0, "the platform's store is unavailable" };
         if (result->status != statusOk)
             return { WriteOutcome::Unknown, 0, fmt::format("status {}", result->status) };
-        const auto answer = nlohmann::json::parse(result->body, nullptr, false);
+        const auto answer = parseJson(result->body).value_or(nlohmann::json());
         if (!answer.is_object() || !answer.contains("version"))
             return { WriteOutcome::Unknown, 0, "the response contains no version" };
         return { WriteOutcome::Applied, answer["version"].get<int64_t>(), {} };
@@ -66,7 +68,7 @@
     if (result->status != statusOk)
         return absl::UnavailableError(fmt::format("status {}", result->status));
     try {
-        return nlohmann::json::parse(result->body).get<peer::StoredObject>();
+        return parseJson(result->body).value().get<peer::StoredObject>();
     } catch (const std::exception& error) {
         return absl::InternalError(error.what());
     }
@@ -93,7 +95,7 @@
     if (result->status != statusOk)
         return absl::UnavailableError(fmt::format("status {}", result->status));
     try {
-        const auto answer = nlohmann::json::parse(result->body);
+        const auto answer = parseJson(result->body).value();
         return ObjectListing { answer.at("revision").get<int64_t>(),
             answer.at("objects").get<std::vector<peer::StoredObject>>() };
     } catch (const std::exception& error) {
--- a/src/store/resolvedwrite.cpp
+++ b/src/store/resolvedwrite.cpp
@@ -1,5 +1,7 @@
 #include "store/resolvedwrite.h"
 
+#include "base/boundedjson.h"
+
 #include <optional>
 #include <thread>
 
@@ -12,7 +14,7 @@
         const auto object = calls.read(write.name);
         if (!object.ok())
             return std::nullopt;
-        const auto value = nlohmann::json::parse(object->value, nullptr, false);
+        const auto value = parseJson(object->value).value_or(nlohmann::json());
         if (value.is_object() && value.value("operationId", "") == write.operationId)
             return WriteResult { WriteOutcome::Applied, object->version, {} };
         return WriteResult { WriteOutcome::Unknown, 0, "the object holds the value of another write" };
--- a/src/store/storedialect.h
+++ b/src/store/storedialect.h
@@ -18,7 +18,7 @@
     std::string kind;
     std::string name;
     int64_t revision = 0; // The store's revision at the last change of the object.
-    nlohmann::json value;
+    nlohmann::json value; // Null if it cannot be parsed.
     bool isDeleted = false;
 };
 
@@ -27,6 +27,8 @@
     std::vector<StoreObject> objects;
     bool hasMore = false;
     int64_t revision = 0;
+    int unreadable = 0; // Number of objects that are left out because their name or revision cannot be read.
+    std::string cause {}; // Why the last one of them cannot be read.
 };
 
 // A write that takes effect only if the object has the expected revision; 0 creates the object.
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -184,6 +184,9 @@
         nextBackoff_ = session_->backoff_.initial;
         revision_ = std::max(revision_, page.revision);
         const auto generation = generation_;
+        if (std::exchange(unreadable_, page.unreadable) != page.unreadable && page.unreadable > 0)
+            log(LogLevel::Warning, "objects-unreadable",
+                { { "kind", kind_ }, { "count", page.unreadable }, { "cause", page.cause } });
         if (isFullListing || !page.objects.empty())
             handler_(page, isFullListing);
         if (session_ && generation == generation_)
@@ -212,6 +215,7 @@
     bool allowsStaleRead_ = false; // The watch in flight allows stale reads.
     StoreTransport::CallId call_ = 0; // The watch in flight.
     int64_t revision_ = 0;
+    int unreadable_ = 0; // Objects that the last page left out.
     int64_t pendingRevision_ = 0; // Announced by another instance while no watch was in flight.
 };
 
@@ -302,6 +306,9 @@
                 return done(page.status());
             const bool isFirst = collected.revision == 0;
             collected.revision = isFirst ? page->revision : collected.revision;
+            collected.unreadable += page->unreadable;
+            if (page->unreadable > 0)
+                collected.cause = page->cause;
             const bool hasMore = page->hasMore && !page->objects.empty();
             std::move(page->objects.begin(), page->objects.end(), std::back_inserter(collected.objects));
             if (hasMore)
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -101,7 +101,7 @@
 
     LinkId linkTo(const std::string& address)
     {
-        if (!isStarted_)
+        if (!isStarted_ || !parseAddress(address).ok())
             return 0;
         std::unique_lock lock(mutex_);
         const auto known = byAddress_.find(address);
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -427,3 +427,22 @@
     CHECK(runUntil([&result] { return result.has_value(); }));
     LONGS_EQUAL(200, result->response.status);
 }
+
+TEST(Sidecar, OddEntriesOfOtherWritersDoNotKeepInstancesFromServing)
+{
+    store->put(fleetKind, "secret", { { "secret", 17 } });
+    store->put(fleetKind, "instance.odd", 17);
+    store->put(fleetKind, "instance.far",
+        { { "name", "far" }, { "incarnation", "a" }, { "zone", "z" }, { "service", "orders" },
+            { "peerAddress", "127.0.0.1:99999/path" }, { "departing", false },
+            { "server",
+                { { "id", "s" }, { "startedMs", 1 }, { "slots", 1e300 }, { "readiness", "ready" } } } });
+    store->put(fleetKind, "keys.gallery", { { "ranges", "none" } });
+    instances.push_back(std::make_unique<Instance>(loop, 0, "orders"));
+    CHECK(runUntil([this] { return !store->value(fleetKind, "instance.odd").is_null(); }));
+    runFor(Milliseconds(500));
+    store->put(fleetKind, "secret", { { "secret", "of the links" } });
+    CHECK(runUntil([this] { return isServing(); }));
+    for (int i = 0; i < 10; ++i)
+        LONGS_EQUAL(200, statusOf(0, orderRequest()));
+}
