--- a/tests/sidecar/crashingrequests.cpp
+++ b/tests/sidecar/crashingrequests.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds contactTime { 3'000 };
 
 constexpr const char* crashingPath = "/orders/crash";
+constexpr size_t quarantineThreshold = 2;
 // A server crashes before it has answered.
 constexpr Milliseconds workTime { 20 };
 
@@ -55,6 +56,26 @@
         }
     }
 
+    // Crashes as many servers as it takes to quarantine the request.
+    void quarantineRequest()
+    {
+        for (int i = 0; crashes < quarantineThreshold; ++i) {
+            call(i % static_cast<int>(instances.size()), crashingRequest());
+            runFor(Milliseconds(200));
+        }
+        restartServers();
+    }
+
+    // Sends the crashing request through the instance and checks that it is refused as not run.
+    void checkIsRefusedBy(int index)
+    {
+        const size_t before = crashes;
+        const CallResult result = call(index, crashingRequest());
+        LONGS_EQUAL(503, result.response.status);
+        CHECK(result.response.header("Retry-After"));
+        LONGS_EQUAL(before, crashes);
+    }
+
     HttpRequest crashingRequest()
     {
         HttpRequest request = orderRequest();
@@ -80,3 +101,43 @@
     }
     CHECK(crashes - runsBefore <= maxLateRuns);
 }
+
+TEST(CrashingRequests, AQuarantinedRequestIsRefusedWhileOthersAreServed)
+{
+    startCrashingInstances({ "orders", "orders", "gallery" });
+    quarantineRequest();
+    for (const int index : { 0, 1, 2 })
+        checkIsRefusedBy(index);
+    CHECK(runUntil([this] { return statusOf(2, orderRequest()) == 200; }));
+    for (int i = 0; i < 10; ++i)
+        LONGS_EQUAL(200, statusOf(i % 3, orderRequest()));
+}
+
+TEST(CrashingRequests, AnInstanceThatJoinsLaterKnowsWhatIsQuarantined)
+{
+    startCrashingInstances({ "orders", "orders", "gallery" });
+    quarantineRequest();
+    startInstances({ "orders" });
+    crashOnRequest(*instances.back());
+    for (int i = 0; i < 8; ++i)
+        checkIsRefusedBy(3);
+}
+
+TEST(CrashingRequests, ARequestThatWasOnlyBesideCrashesIsServedAgain)
+{
+    startCrashingInstances({ "orders", "orders", "gallery" });
+    for (int crash = 0; crash < 4; ++crash) {
+        std::optional<CallResult> besideCrash;
+        serverOf(0).setDraining();
+        CHECK(runUntil([this] { return statusOf(2, orderRequest()) == 200; }));
+        serverOf(1).setWorkTime(Milliseconds(200));
+        instances[2]->caller.call(
+            orderRequest(), longTime, [&besideCrash](CallResult ended) { besideCrash = std::move(ended); });
+        const size_t runs = serverOf(1).runs().size();
+        CHECK(runUntil([this, runs] { return serverOf(1).runs().size() > runs; }));
+        serverOf(1).stop();
+        CHECK(runUntil([&besideCrash] { return besideCrash.has_value(); }));
+        restartServers();
+        CHECK(runUntil([this] { return statusOf(2, orderRequest()) == 200; }));
+    }
+}
