--- a/src/routing/retrybudget.h
+++ b/src/routing/retrybudget.h
@@ -8,9 +8,7 @@
 // overload a degraded fleet. Not thread-safe.
 class RetryBudget {
 public:
-    // With `initialTokens`, retries are possible before there was any normal traffic. If many processes share
-    // a limit, each of their restarts would add these tokens to it.
-    explicit RetryBudget(double ratio = 0.1, double maxTokens = 50, double initialTokens = 10)
+    explicit RetryBudget(double ratio = 0.1, double maxTokens = 50)
         : ratio_(ratio)
         , maxTokens_(maxTokens)
         , tokens_(std::min(maxTokens, initialTokens))
@@ -37,6 +35,8 @@
     }
 
 private:
+    static constexpr double initialTokens = 10;
+
     double ratio_;
     double maxTokens_;
     double tokens_;
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -520,7 +520,7 @@
     const double reserve
         = std::max(1.0, options_.settings.retryReserve * usableReserveShare / static_cast<double>(instances));
     RetryBudget& budget
-        = retryBudgets_.try_emplace(service, RetryBudget(options_.settings.retryRatio, reserve, 0))
+        = retryBudgets_.try_emplace(service, RetryBudget(options_.settings.retryRatio, reserve))
               .first->second;
     budget.setMaxTokens(reserve);
     return budget;
