--- a/tests/sidecar/crashingrequests.cpp
+++ b/tests/sidecar/crashingrequests.cpp
@@ -14,34 +14,50 @@
 constexpr Milliseconds contactTime { 3'000 };
 
 constexpr const char* crashingPath = "/orders/crash";
+constexpr const char* crashingLookup = "crash";
+constexpr const char* crashingLookupPath = "/lookups/crash";
 constexpr size_t quarantineThreshold = 2;
 // A server crashes before it has answered.
 constexpr Milliseconds workTime { 20 };
+constexpr Milliseconds repeatInterval { 100 };
+constexpr int manySlots = 16;
 
 }
 
 TEST_GROUP_BASE(CrashingRequests, testing::SidecarFleet)
 {
     size_t crashes = 0;
+    Milliseconds timeToCrash { 0 }; // Between the start of a run and the crash.
     std::unique_ptr<FaultProxy> storeProxy;
 
     void startCrashingInstances(const std::vector<std::string>& services)
     {
         storeProxy = std::make_unique<FaultProxy>(loop, proxiedStoreAddress, storeAddress);
         startInstances(services);
-        for (const auto& instance : instances)
+        for (const auto& instance : instances) {
             crashOnRequest(*instance);
+            instance->server->report();
+        }
+        CHECK(runUntil([this] {
+            return std::all_of(instances.begin(), instances.end(),
+                [](const auto& instance) { return instance->server->isReportAnswered(); });
+        }));
     }
 
     // Makes the instance's server crash when it starts to work on the crashing request.
     void crashOnRequest(Instance & instance)
     {
-        instance.server->setWorkTime(workTime);
+        instance.server->setWorkTime(std::max(workTime, timeToCrash * 2));
+        instance.server->setSlots(manySlots);
         instance.server->setRunHandler([this, &instance](const HttpRequest& request) {
-            if (request.target != crashingPath)
+            if (request.target != crashingPath && request.target != crashingLookupPath)
                 return;
             ++crashes;
-            asio::post(loop, [&instance] { instance.server->stop(); });
+            const auto timer = std::make_shared<asio::steady_timer>(loop, timeToCrash);
+            timer->async_wait([&instance, server = instance.server.get(), timer](std::error_code) {
+                if (server == instance.server.get())
+                    server->stop();
+            });
         });
     }
 
@@ -76,6 +92,44 @@
         LONGS_EQUAL(before, crashes);
     }
 
+    // Sends the lookup through the instance, and again whenever it is not answered with success. `onServed`
+    // is called with the time that it took.
+    void repeatLookup(int index, const std::string& name, const std::function<void(Duration)>& onServed)
+    {
+        const TimePoint begun = BootClock::now();
+        const auto send = std::make_shared<std::function<void()>>();
+        *send = [this, index, name, onServed, begun, weak = std::weak_ptr(send)] {
+            const auto again = weak.lock();
+            instances[static_cast<size_t>(index)]->caller.call(
+                lookupRequest(name), longTime, [this, onServed, begun, again](const CallResult& result) {
+                    if (result.outcome == CallOutcome::Answered && result.response.status == 200)
+                        return onServed(BootClock::now() - begun);
+                    const auto timer = std::make_shared<asio::steady_timer>(loop, repeatInterval);
+                    timer->async_wait([again, timer](std::error_code) { (*again)(); });
+                });
+        };
+        (*send)();
+    }
+
+    // Lets callers repeat the crashing lookup and innocent ones, which all begin at the same time, until all
+    // of the innocent ones are served. Returns how long the slowest of these took.
+    Duration slowestInnocentLookup(int ingress, int innocentLookups)
+    {
+        repeatLookup(ingress, crashingLookup, [](Duration) { FAIL("the crashing lookup was served"); });
+        int served = 0;
+        Duration slowest { 0 };
+        for (int i = 0; i < innocentLookups; ++i)
+            repeatLookup(ingress, std::to_string(i), [&served, &slowest](Duration took) {
+                ++served;
+                slowest = std::max(slowest, took);
+            });
+        while (served < innocentLookups) {
+            runFor(Milliseconds(200));
+            restartServers();
+        }
+        return slowest;
+    }
+
     HttpRequest crashingRequest()
     {
         HttpRequest request = orderRequest();
@@ -139,3 +193,70 @@
     }
     CHECK(runUntil([this] { return statusOf(1, orderRequest()) == 200; }));
 }
+
+TEST(CrashingRequests, LookupsThatWereBesideACrashAreNotHeldBackWithTheOneThatCausesIt)
+{
+    timeToCrash = workTime / 2;
+    startCrashingInstances({ "orders", "orders", "orders", "gallery" });
+    CHECK(slowestInnocentLookup(3, 24) < Quarantine::firstTerm);
+}
+
+TEST(CrashingRequests, AnErrorOfTheServerDoesNotClearARequestThatCrashesServers)
+{
+    startCrashingInstances({ "orders", "orders" });
+    call(1, crashingRequest());
+    runFor(Milliseconds(200));
+    restartServers();
+    for (const auto& instance : instances) {
+        instance->server->setRunHandler(nullptr);
+        instance->server->setStatus(500);
+    }
+    CHECK(runUntil([this] { return statusOf(1, crashingRequest()) == 500; }));
+    for (const auto& instance : instances)
+        crashOnRequest(*instance);
+    call(1, crashingRequest());
+    LONGS_EQUAL(2, crashes);
+    checkIsRefusedBy(0);
+    checkIsRefusedBy(1);
+}
+
+TEST(CrashingRequests, AnAnswerToARunBegunBeforeTheCrashesDoesNotClear)
+{
+    startCrashingInstances({ "orders", "orders", "orders" });
+    for (const auto& instance : instances)
+        instance->server->setRunHandler(nullptr);
+    serverOf(2).holdResponses(true);
+    std::optional<CallResult> early;
+    while (serverOf(2).runs().empty()) {
+        instances[2]->caller.call(
+            crashingRequest(), longTime, [&early](CallResult ended) { early = std::move(ended); });
+        runFor(Milliseconds(100));
+    }
+    serverOf(2).setDraining();
+    runFor(Milliseconds(500));
+    for (const int index : { 0, 1 })
+        crashOnRequest(*instances[static_cast<size_t>(index)]);
+    quarantineRequest();
+    early.reset();
+    serverOf(2).answerHeldRequests();
+    CHECK(runUntil([&early] { return early.has_value(); }));
+    for (const int index : { 0, 1, 2 })
+        checkIsRefusedBy(index);
+}
+
+TEST(CrashingRequests, AfterItsTermAQuarantinedRequestRunsAtOneServerOnly)
+{
+    timeToCrash = repeatInterval;
+    startCrashingInstances({ "orders", "orders", "orders", "gallery" });
+    quarantineRequest();
+    runFor(std::chrono::duration_cast<Milliseconds>(Quarantine::firstTerm));
+    size_t ended = 0;
+    const size_t callers = 6;
+    for (size_t i = 0; i < callers; ++i) {
+        instances[i % instances.size()]->caller.call(
+            crashingRequest(), longTime, [&ended](const CallResult&) { ++ended; });
+        runFor(Milliseconds(15));
+    }
+    CHECK(runUntil([&ended] { return ended == callers; }));
+    LONGS_EQUAL(quarantineThreshold + 1, crashes);
+}
--- a/tests/sidecar/sidecarfleet.h
+++ b/tests/sidecar/sidecarfleet.h
@@ -38,6 +38,7 @@
     addRule("calls", "idempotent", "/calls/", "orders");
     rules.back()["allowAnonymous"] = true;
     addRule("albums", "non_idempotent", "/albums/", "gallery");
+    addRule("lookups", "idempotent", "/lookups/", "orders");
     if (hasOrders)
         addRule("orders", "non_idempotent", "/orders/", "orders");
     return { { "version", "r" + std::to_string(version) },
@@ -224,6 +225,15 @@
         return request;
     }
 
+    // An idempotent request without a key.
+    HttpRequest lookupRequest(const std::string& name)
+    {
+        HttpRequest request = cardRequest(0);
+        request.target = "/lookups/" + name;
+        request.headers.pop_back();
+        return request;
+    }
+
     // A request for the first key that is not idempotent.
     HttpRequest albumRequest()
     {
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -11,7 +11,6 @@
     using nlohmann::json;
 
     constexpr Milliseconds reportInterval { 100 };
-    constexpr int slots = 2;
     // Longer than any response is delayed in the tests.
     constexpr Milliseconds callTimeout { 20'000 };
 
@@ -237,7 +236,7 @@
                 holds.push_back({ range.first, range.last, range.fence });
         }
     }
-    const json body { { "service", service_ }, { "slots", slots },
+    const json body { { "service", service_ }, { "slots", slots_ },
         { "state", isDraining_ ? "draining" : "ready" }, { "warmupLeft", "0ms" }, { "sequence", ++sequence_ },
         { "born", startedMs_ }, { "holds", holds }, { "released", released } };
     ++openReports_;
@@ -339,7 +338,7 @@
 
 void StandInServer::sendResponse(const std::shared_ptr<HttpExchange>& exchange)
 {
-    HttpResponse response = makeServerResponse(exchange->request(), 200, "from " + id_);
+    HttpResponse response = makeServerResponse(exchange->request(), status_, "from " + id_);
     response.headers.push_back({ "Persimmonfield-Response-Signature", "signed" });
     response.headers.push_back({ "Persimmonfield-Server-Load", "1,0,2,100" });
     exchange->respond(std::move(response));
--- a/tests/standins/loopback.h
+++ b/tests/standins/loopback.h
@@ -118,6 +118,10 @@
     void answerHeldRequests();
     // Sets how long the server works on each request.
     void setWorkTime(Milliseconds time) { workTime_ = time; }
+    // Sets the HTTP status of the answers.
+    void setStatus(int status) { status_ = status; }
+    // Sets how many requests the server reports to run at once.
+    void setSlots(int slots) { slots_ = slots; }
     // Deregisters from the daemon but continues to serve.
     void leave();
     // Stops as in a crash; the server holds no ranges afterwards.
@@ -161,6 +165,8 @@
     bool isStopped_ = false;
     int64_t startedMs_;
     Milliseconds workTime_ { 0 };
+    int status_ = 200;
+    int slots_ = 2;
     std::vector<HeldRange> holds_;
     std::vector<HeldRange>
         releasing_; // Withdrawn; not reported as released while a request still uses a key.
