Sidecar: suspects run one at a time, and one server tries a request after its quarantine

Callers saw innocent requests refused for 5 s and more: all calls in flight at a crash are repeated together, crash the next server together with the one at fault, and have the same number of crashes from then on. They were quarantined with it, told to return at the same moment, and ran beside it again. At the end of a term every gate let runs begin at once, so that a request that many callers repeat crashed a server at each.

A gate now runs one suspect at a time, so that the next crash tells which one is at fault; the others wait their turn, or are refused at once where it comes too late. The first run after a quarantine is told to the other gates, which refuse the request until its outcome is known, for 5 s at most. Retry-After is spread by up to an eighth of what is left.

--- a/src/routing/quarantine.cpp
+++ b/src/routing/quarantine.cpp
@@ -34,15 +34,14 @@
         const auto found = suspects_.find(run.fingerprint);
         if (found == suspects_.end()) {
             if (suspects_.size() < maxSuspects)
-                suspects_[run.fingerprint] = { 1, now };
+                suspects_[run.fingerprint] = suspectWith(1, now);
             continue;
         }
         Suspect& suspect = found->second;
         const bool hasBegunSince = now - run.age >= suspect.lastCrash;
         if (!hasBegunSince || suspect.crashes < most)
             continue;
-        ++suspect.crashes;
-        suspect.lastCrash = now;
+        suspect = suspectWith(suspect.crashes + 1, now);
         if (suspect.crashes >= quarantineThreshold)
             quarantined.push_back(run.fingerprint);
     }
@@ -56,7 +55,16 @@
         return;
     Suspect& suspect = suspects_[fingerprint];
     if (suspect.crashes < crashes)
-        suspect = { crashes, now };
+        suspect = suspectWith(crashes, now);
+}
+
+bool Quarantine::recordTrial(const std::string& fingerprint, TimePoint now)
+{
+    const auto found = suspects_.find(fingerprint);
+    if (found == suspects_.end() || found->second.crashes < quarantineThreshold)
+        return false;
+    found->second.refusedUntil = std::max(found->second.refusedUntil, now + firstTerm);
+    return true;
 }
 
 bool Quarantine::recordAnswer(const std::string& fingerprint, TimePoint begunAt)
@@ -73,7 +81,7 @@
     const auto found = suspects_.find(fingerprint);
     if (found == suspects_.end())
         return Duration::zero();
-    return std::max(Duration::zero(), found->second.lastCrash + term(found->second.crashes) - now);
+    return std::max(Duration::zero(), found->second.refusedUntil - now);
 }
 
 int Quarantine::crashes(const std::string& fingerprint) const
@@ -109,21 +117,21 @@
     return most;
 }
 
-Duration Quarantine::term(int crashes)
+Quarantine::Suspect Quarantine::suspectWith(int crashes, TimePoint now)
 {
     if (crashes < quarantineThreshold)
-        return Duration::zero();
+        return { crashes, now, now };
     Duration term = firstTerm;
     for (int i = quarantineThreshold; i < crashes && term < maxTerm; ++i)
         term *= termFactor;
-    return std::min<Duration>(term, maxTerm);
+    return { crashes, now, now + std::min<Duration>(term, maxTerm) };
 }
 
 TimePoint Quarantine::expiry(const Suspect& suspect)
 {
     if (suspect.crashes < quarantineThreshold)
         return suspect.lastCrash + suspectRetention;
-    return suspect.lastCrash + term(suspect.crashes) + probation;
+    return suspect.refusedUntil + probation;
 }
 
 std::string requestFingerprint(const std::string& team, const std::string& route, const std::string& method,
--- a/src/routing/quarantine.h
+++ b/src/routing/quarantine.h
@@ -12,8 +12,9 @@
 namespace persimmonfield {
 
 // Quarantines requests that crash backend servers. A request that was in flight when a server crashed becomes
-// a suspect. From its second crash on it is refused for some time, which grows with each further crash. An
-// answer from a server clears it. Does no I/O; not thread-safe.
+// a suspect. From its second crash on it is refused for some time, which grows with each further crash. After
+// that a single run tries whether it still crashes servers. An answer from a server clears it. Does no I/O;
+// not thread-safe.
 class Quarantine {
 public:
     // A request that was in flight when a server crashed.
@@ -30,6 +31,10 @@
     // Records what another instance knows of a request: that it has crashed this number of servers.
     void recordCrashes(const std::string& fingerprint, int crashes, TimePoint now);
 
+    // Records that a run of the request has started. If the request was quarantined before, it is refused
+    // again until the outcome of this run is known, for `firstTerm` at most. Returns whether it is.
+    bool recordTrial(const std::string& fingerprint, TimePoint now);
+
     // Records that a server has answered a run that began at `begunAt`. Returns whether this clears a
     // suspect; a run that began before the latest crash does not.
     bool recordAnswer(const std::string& fingerprint, TimePoint begunAt);
@@ -59,11 +64,12 @@
     struct Suspect {
         int crashes = 0;
         TimePoint lastCrash;
+        TimePoint refusedUntil;
     };
 
     bool isKnownCrash(const std::string& crashId) const;
     int mostCrashes(const std::vector<Run>& runs, TimePoint now) const;
-    static Duration term(int crashes);
+    static Suspect suspectWith(int crashes, TimePoint now);
     static TimePoint expiry(const Suspect& suspect);
 
     std::map<std::string, Suspect> suspects_; // By fingerprint.
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -323,7 +323,7 @@
     std::function<void()> cancel;
     if (target.peerAddress.empty()) {
         GateCall call { std::move(request), pending->exchange->request().body, pending->deadline,
-            pending->objectiveEnd, done };
+            pending->objectiveEnd, done, {} };
         cancel = [this, id = options_.gate->submit(std::move(call))] { options_.gate->cancel(id); };
     } else {
         const auto id = options_.peerCalls->send(
--- a/src/sidecar/requestquarantine.cpp
+++ b/src/sidecar/requestquarantine.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/requestquarantine.h"
 
 #include "base/logger.h"
+#include "base/random.h"
 #include "http/httpmessage.h"
 
 #include <algorithm>
@@ -15,6 +16,9 @@
     // Bounds the size of a message. A crash usually interrupts no more calls than a server has slots.
     constexpr size_t maxReported = 256;
     constexpr int firstServerError = 500;
+    // Retry-After is longer than the quarantine by up to its length divided by this, so that callers do not
+    // all return at the moment at which it ends.
+    constexpr int64_t retrySpreadDivisor = 8;
 
     Milliseconds toMilliseconds(Duration duration)
     {
@@ -33,9 +37,20 @@
 
 RequestQuarantine::RequestQuarantine(RequestQuarantineOptions options)
     : options_(std::move(options))
+    , random_(randomSource())
 {
 }
 
+bool RequestQuarantine::isSuspect(
+    const peer::ForwardedRequest& request, const std::string& body, std::string& fingerprint) const
+{
+    if (quarantine_.size() == 0)
+        return false;
+    if (fingerprint.empty())
+        fingerprint = fingerprintOf(request, body);
+    return quarantine_.crashes(fingerprint) > 0;
+}
+
 std::optional<Reply> RequestQuarantine::refusal(
     const peer::ForwardedRequest& request, const std::string& body, TimePoint now) const
 {
@@ -46,7 +61,9 @@
     if (left <= Duration::zero())
         return std::nullopt;
     Reply reply = notRun(RefusalReason::Quarantined, "backend servers crashed while they ran the request");
-    reply.retryAfter = std::max(Milliseconds(1), toMilliseconds(left));
+    const Duration spread = left / retrySpreadDivisor;
+    const Duration random(static_cast<int64_t>(random_() % static_cast<uint64_t>(spread.count() + 1)));
+    reply.retryAfter = std::max(Milliseconds(1), toMilliseconds(left + random));
     return reply;
 }
 
@@ -64,7 +81,7 @@
     for (const Quarantine::Run& run : runs) {
         const int crashes = quarantine_.crashes(run.fingerprint);
         if (crashes > 0)
-            message.crashCounts->counts.push_back({ crashes, run.fingerprint });
+            message.crashCounts->counts.push_back({ crashes, run.fingerprint, std::nullopt });
     }
     if (!message.crashCounts->counts.empty())
         options_.broadcast(message);
@@ -79,6 +96,17 @@
         options_.onChange();
 }
 
+void RequestQuarantine::onSuspectStarted(const std::string& fingerprint, TimePoint now)
+{
+    if (!quarantine_.recordTrial(fingerprint, now))
+        return;
+    const int crashes = quarantine_.crashes(fingerprint);
+    log(LogLevel::Info, "quarantine-trial", { { "fingerprint", fingerprint }, { "crashes", crashes } });
+    peer::PeerMessage message;
+    message.crashCounts = peer::CrashCounts { { { crashes, fingerprint, true } } };
+    options_.broadcast(message);
+}
+
 void RequestQuarantine::onAnswer(const peer::ForwardedRequest& request, const std::string& body,
     const Reply& reply, TimePoint begunAt, bool isLocalServer)
 {
@@ -95,19 +123,21 @@
     if (!isLocalServer)
         return;
     peer::PeerMessage message;
-    message.crashCounts = peer::CrashCounts { { { 0, fingerprint } } };
+    message.crashCounts = peer::CrashCounts { { { 0, fingerprint, std::nullopt } } };
     options_.broadcast(message);
 }
 
 void RequestQuarantine::onCrashCounts(const peer::CrashCounts& message, TimePoint now)
 {
     for (const peer::CrashCount& count : message.counts) {
-        if (count.crashes > 0) {
-            quarantine_.recordCrashes(count.fingerprint, static_cast<int>(count.crashes), now);
-        } else {
+        if (count.crashes <= 0) {
             quarantine_.clear(count.fingerprint);
             withdraw(count.fingerprint);
+            continue;
         }
+        quarantine_.recordCrashes(count.fingerprint, static_cast<int>(count.crashes), now);
+        if (count.isTrial.value_or(false))
+            quarantine_.recordTrial(count.fingerprint, now);
     }
 }
 
--- a/src/sidecar/requestquarantine.h
+++ b/src/sidecar/requestquarantine.h
@@ -38,6 +38,11 @@
 public:
     explicit RequestQuarantine(RequestQuarantineOptions options);
 
+    // Whether the request is suspected of crashing servers. `fingerprint` caches the hash by which it is
+    // recognized when it is repeated; it is set once any request is suspected.
+    bool isSuspect(
+        const peer::ForwardedRequest& request, const std::string& body, std::string& fingerprint) const;
+
     // The refusal of a request that is quarantined; std::nullopt if the request may run.
     std::optional<Reply> refusal(
         const peer::ForwardedRequest& request, const std::string& body, TimePoint now) const;
@@ -45,6 +50,10 @@
     // The server next to this instance has crashed while it worked on the calls.
     void onServerCrash(const std::vector<InterruptedCall>& calls, TimePoint now);
 
+    // The server next to this instance starts to run a suspect. After a quarantine, the other instances
+    // refuse the request until the outcome of this run is known.
+    void onSuspectStarted(const std::string& fingerprint, TimePoint now);
+
     // A server has answered a run that began at `begunAt`, so the request does not crash servers; an error of
     // the server does not tell. `isLocalServer` is whether it was the server next to this instance, of which
     // the other instances have to be told.
@@ -64,6 +73,7 @@
     void withdraw(const std::string& fingerprint);
 
     RequestQuarantineOptions options_;
+    std::function<uint64_t()> random_;
     Quarantine quarantine_;
     std::set<std::string> published_; // Fingerprints.
     int64_t crashes_ = 0; // Of the server next to this instance.
--- a/src/sidecar/servergate.cpp
+++ b/src/sidecar/servergate.cpp
@@ -149,20 +149,49 @@
     return { call.request.priority, call.objectiveEnd - expectedWork(call, now), id };
 }
 
-// The time that a request of this rank is expected to wait for a slot.
-Duration ServerGate::expectedWait(const Rank& rank, TimePoint now) const
+// The time that a request of this rank is expected to wait for a slot. Suspects take one slot at most.
+Duration ServerGate::expectedWait(const Rank& rank, TimePoint now)
 {
     const auto slots = static_cast<size_t>(server_->slots);
-    if (running_.size() + waiting_.size() < slots)
+    const auto waiting = std::count_if(
+        waiting_.begin(), waiting_.end(), [this](auto& each) { return !isSuspect(each.second); });
+    if (running_.size() + static_cast<size_t>(waiting) < slots)
         return Duration::zero();
     Duration work { 0 };
     for (const auto& [id, running] : running_)
         work += std::max(Duration::zero(), running.expected - (now - running.startedAt));
     for (auto ahead = waiting_.begin(); ahead != waiting_.end() && ahead->first < rank; ++ahead)
-        work += expectedWork(ahead->second.request.route);
+        work += isSuspect(ahead->second) ? Duration::zero() : expectedWork(ahead->second.request.route);
     return work / static_cast<int64_t>(slots);
 }
 
+// The time that a suspect of this rank is expected to wait for the suspects before it.
+Duration ServerGate::expectedSuspectWait(const Rank& rank, TimePoint now)
+{
+    Duration wait { 0 };
+    for (const auto& [id, running] : running_) {
+        if (running.isSuspect)
+            wait += std::max(Duration::zero(), running.expected - (now - running.startedAt));
+    }
+    for (auto ahead = waiting_.begin(); ahead != waiting_.end() && ahead->first < rank; ++ahead)
+        wait += isSuspect(ahead->second) ? expectedWork(ahead->second.request.route) : Duration::zero();
+    return wait;
+}
+
+bool ServerGate::isSuspect(GateCall& call) const
+{
+    return options_.quarantine->isSuspect(call.request, call.body, call.fingerprint);
+}
+
+// The first waiting request that may start beside those that run.
+std::map<ServerGate::Rank, GateCall>::iterator ServerGate::nextCall()
+{
+    const bool isSuspectRunning
+        = std::any_of(running_.begin(), running_.end(), [](auto& each) { return each.second.isSuspect; });
+    return std::find_if(waiting_.begin(), waiting_.end(),
+        [&](auto& each) { return !isSuspectRunning || !isSuspect(each.second); });
+}
+
 ServerGate::CallId ServerGate::submit(GateCall call)
 {
     const TimePoint now = BootClock::now();
@@ -174,7 +203,9 @@
     if (call.request.partition >= 0)
         recordKeyedRequest(call, now);
     const Rank rank = rankOf(id, call, now);
-    const Duration wait = expectedWait(rank, now);
+    Duration wait = expectedWait(rank, now);
+    if (isSuspect(call))
+        wait = std::max(wait, expectedSuspectWait(rank, now));
     if (wait > Duration::zero() && now + wait > rank.latestStart) {
         answer(call,
             refusalWith(RefusalReason::QueueFull, "the server is too busy to answer within the objective",
@@ -238,9 +269,12 @@
 {
     const TimePoint now = BootClock::now();
     while (mayStart(now)) {
-        const CallId id = waiting_.begin()->first.id;
-        GateCall call = std::move(waiting_.begin()->second);
-        waiting_.erase(waiting_.begin());
+        const auto next = nextCall();
+        if (next == waiting_.end())
+            break;
+        const CallId id = next->first.id;
+        GateCall call = std::move(next->second);
+        waiting_.erase(next);
         if (auto reply = refusal(call, now))
             answer(call, *std::move(reply));
         else if (now + minTimeLeft >= call.deadline)
@@ -299,6 +333,9 @@
     running.call = std::move(call);
     running.startedAt = now;
     running.expected = expectedWork(running.call.request.route);
+    running.isSuspect = isSuspect(running.call);
+    if (running.isSuspect)
+        options_.quarantine->onSuspectStarted(running.call.fingerprint, now);
     running.zoneEvacuatedFor = options_.zones->evacuatedFor(options_.settings.zone, now);
     if (running.zoneEvacuatedFor)
         options_.counters->counter("zone_out_requests_total")++;
--- a/src/sidecar/servergate.h
+++ b/src/sidecar/servergate.h
@@ -32,6 +32,7 @@
     TimePoint deadline;
     TimePoint objectiveEnd; // The end of the latency objective.
     std::function<void(Reply reply)> reply; // Called once, unless the call is cancelled.
+    std::string fingerprint; // Set by the gate once any request is suspected of crashing servers.
 };
 
 // The state of the backend server that the gate needs for admission.
@@ -61,7 +62,8 @@
 // Admission control and request queue of the backend server next to this instance. All requests to the server
 // pass through it, so it enforces all limits of the server: its slots, the keys it owns, its request rate
 // while cold, and draining. Refuses requests early that cannot be answered within their latency objective.
-// Runs on the event loop's thread.
+// Requests that are suspected of crashing servers run one at a time, so that a crash tells which of them is
+// at fault. Runs on the event loop's thread.
 class ServerGate {
 public:
     using CallId = int64_t;
@@ -109,6 +111,7 @@
         HttpClient::CallId httpCall = 0;
         TimePoint startedAt;
         Duration expected { 0 };
+        bool isSuspect = false; // At its start.
         std::optional<Duration> zoneEvacuatedFor; // At its start, from EvacuatedZones::evacuatedFor.
     };
 
@@ -128,7 +131,10 @@
     bool wouldOutliveProcess(const GateCall& call, TimePoint start) const;
     Duration expectedWork(const std::string& route) const;
     Duration expectedWork(const GateCall& call, TimePoint now) const;
-    Duration expectedWait(const Rank& rank, TimePoint now) const;
+    Duration expectedWait(const Rank& rank, TimePoint now);
+    Duration expectedSuspectWait(const Rank& rank, TimePoint now);
+    bool isSuspect(GateCall& call) const;
+    std::map<Rank, GateCall>::iterator nextCall();
     void startQueuedCalls();
     bool mayStart(TimePoint now);
     Duration coldRateDelay(TimePoint now);
--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -157,6 +157,33 @@
     LONGS_EQUAL(0, quarantine.crashes("a"));
 }
 
+TEST(Quarantine, ARunAfterTheTermIsATrialThatAllOthersWaitFor)
+{
+    crash({ "a" });
+    CHECK_FALSE(quarantine.recordTrial("a", now));
+    CHECK_FALSE(isRefused("a"));
+    crash({ "a" });
+    pass(Quarantine::firstTerm);
+    CHECK_FALSE(isRefused("a"));
+    CHECK(quarantine.recordTrial("a", now));
+    CHECK(isRefused("a"));
+    pass(Quarantine::firstTerm);
+    CHECK_FALSE(isRefused("a"));
+    CHECK(quarantine.recordTrial("a", now));
+    quarantine.recordAnswer("a", now);
+    CHECK_FALSE(isRefused("a"));
+    CHECK_FALSE(quarantine.recordTrial("a", now));
+}
+
+TEST(Quarantine, ATrialDoesNotShortenATerm)
+{
+    for (int i = 0; i < 3; ++i)
+        crash({ "a" });
+    const Duration term = quarantine.refusedFor("a", now);
+    quarantine.recordTrial("a", now);
+    CHECK(quarantine.refusedFor("a", now) == term);
+}
+
 TEST(Quarantine, RunsThatCrashTogetherAreNoRepetition)
 {
     crash({ "popular" }, Milliseconds(100));
--- a/tests/sidecar/crashingrequests.cpp
+++ b/tests/sidecar/crashingrequests.cpp
@@ -3,6 +3,8 @@
 #include "sidecar/sidecarfleet.h"
 #include "standins/faultproxy.h"
 
+#include <absl/strings/numbers.h>
+
 using namespace persimmonfield;
 using namespace persimmonfield::testing;
 
@@ -38,10 +40,22 @@
             crashOnRequest(*instance);
             instance->server->report();
         }
-        CHECK(runUntil([this] {
-            return std::all_of(instances.begin(), instances.end(),
-                [](const auto& instance) { return instance->server->isReportAnswered(); });
-        }));
+        for (size_t i = 0; i < instances.size(); ++i)
+            useAllServersThrough(static_cast<int>(i));
+    }
+
+    // Sends innocent requests through the instance until all servers have run some, which shows that it knows
+    // the instances beside them.
+    void useAllServersThrough(int index)
+    {
+        std::map<const StandInServer*, size_t> runsBefore;
+        for (const auto& instance : instances) {
+            if (instance->settings.service == "orders")
+                runsBefore[instance->server.get()] = instance->server->runs().size();
+        }
+        const auto hasRun = [](const auto& server) { return server.first->runs().size() > server.second; };
+        while (!std::all_of(runsBefore.begin(), runsBefore.end(), hasRun))
+            call(index, lookupRequest("innocent"));
     }
 
     // Makes the instance's server crash when it starts to work on the crashing request.
@@ -227,7 +241,8 @@
         instance->server->setRunHandler(nullptr);
     serverOf(2).holdResponses(true);
     std::optional<CallResult> early;
-    while (serverOf(2).runs().empty()) {
+    const size_t runsBefore = serverOf(2).runs().size();
+    while (serverOf(2).runs().size() == runsBefore) {
         instances[2]->caller.call(
             crashingRequest(), longTime, [&early](CallResult ended) { early = std::move(ended); });
         runFor(Milliseconds(100));
@@ -260,3 +275,46 @@
     CHECK(runUntil([&ended] { return ended == callers; }));
     LONGS_EQUAL(quarantineThreshold + 1, crashes);
 }
+
+TEST(CrashingRequests, APopularLookupBesideACrashingOneIsServedThroughout)
+{
+    timeToCrash = workTime;
+    startCrashingInstances({ "orders", "orders", "orders", "gallery" });
+    repeatLookup(3, crashingLookup, [](Duration) { FAIL("the crashing lookup was served"); });
+    TimePoint lastServed = BootClock::now();
+    Duration longestGap { 0 };
+    const TimePoint end = lastServed + Quarantine::firstTerm * 2;
+    for (int sent = 0; BootClock::now() < end; ++sent) {
+        instances[static_cast<size_t>(sent) % instances.size()]->caller.call(
+            lookupRequest("popular"), longTime, [&lastServed, &longestGap](const CallResult& result) {
+                if (result.outcome != CallOutcome::Answered || result.response.status != 200)
+                    return;
+                longestGap = std::max(longestGap, BootClock::now() - lastServed);
+                lastServed = BootClock::now();
+            });
+        runFor(workTime / 2);
+        if (sent % 20 == 0)
+            restartServers();
+    }
+    CHECK(crashes > quarantineThreshold);
+    CHECK(longestGap < Quarantine::firstTerm / 2);
+}
+
+TEST(CrashingRequests, CallersOfAQuarantinedRequestAreNotToldToReturnAtTheSameMoment)
+{
+    startCrashingInstances({ "orders", "orders" });
+    quarantineRequest();
+    const auto returnsAt = [this](int index) {
+        const CallResult result = call(index, crashingRequest());
+        LONGS_EQUAL(503, result.response.status);
+        double seconds = 0;
+        CHECK(absl::SimpleAtod(*result.response.header("Retry-After"), &seconds));
+        return BootClock::now()
+            + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    };
+    std::vector<TimePoint> returns;
+    for (int i = 0; i < 20; ++i)
+        returns.push_back(returnsAt(i % 2));
+    const auto [earliest, latest] = std::minmax_element(returns.begin(), returns.end());
+    CHECK(*latest - *earliest > Quarantine::firstTerm / 20);
+}
