Soak: a lookup without a key that crashes servers

The soak's requests that crash servers had a key or could run only once, so none went from a crashed server to the next one within an attempt, and each service had one. /lookups/crash is idempotent, has no key and runs at the servers of /orders/crash.

--- a/tests/soak/crashingrequest.h
+++ b/tests/soak/crashingrequest.h
@@ -21,6 +21,8 @@
 
     const std::string& target() const { return target_; }
     bool isCard() const { return target_.rfind("/cards/", 0) == 0; }
+    // Whether it is idempotent and has no key.
+    bool isLookup() const { return target_.rfind("/lookups/", 0) == 0; }
 
     // Records a run. `isInTouch` is whether no fault has disconnected the machine that ran it for a while.
     // Returns the violation if the run exceeds the bound.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -148,7 +148,8 @@
                 { { { "host", "h" },
                     { "routingRules",
                         { makeRoute("cards", "idempotent", "/cards/", "gallery"),
-                            makeRoute("orders", "non_idempotent", "/orders/", "orders") } } } } },
+                            makeRoute("orders", "non_idempotent", "/orders/", "orders"),
+                            makeRoute("lookups", "idempotent", "/lookups/", "orders") } } } } },
             { "clusters", { { { "name", "gallery" }, { "sharded", true } }, { { "name", "orders" } } } } });
 }
 
@@ -493,6 +494,10 @@
         const std::string id = fmt::format("r{}", ++requests_);
         HttpRequest request = makeRequest(id, crashing.isCard(), crashingKey, false);
         request.target = crashing.target();
+        if (crashing.isLookup()) {
+            request.method = "GET";
+            request.body.clear();
+        }
         crashingRequestSenders_[id] = &machine;
         machine.caller().call(request, requestTimeout, [this, request](const CallResult& result) {
             if (result.outcome == CallOutcome::Answered)
@@ -673,11 +678,11 @@
 {
     return fmt::format(
         "{} requests, {} ran, {} served; {}; {} timed out, {} responses corrupted, the test process ran late "
-        "{} times, {} ms in total; requests that crash servers ran {} and {} times",
+        "{} times, {} ms in total; requests that crash servers ran {}, {} and {} times",
         requests_, invariants_.runCount(), invariants_.servedCount(), lostRequests_.summary(), timeouts_,
         corrupter_.count(), schedulingDelays_.size(),
         std::chrono::duration_cast<Milliseconds>(schedulingDelaySince(TimePoint())).count(),
-        crashingRequests_.front().runs(), crashingRequests_.back().runs());
+        crashingRequests_[0].runs(), crashingRequests_[1].runs(), crashingRequests_[2].runs());
 }
 
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -123,7 +123,7 @@
     std::map<const Machine*, TimePoint> stoppedAt_; // Time of the last SIGTERM.
     std::vector<std::pair<TimePoint, Duration>> schedulingDelays_; // When the test ran late, and by how much.
     std::vector<CrashingRequest> crashingRequests_ { CrashingRequest("/orders/crash"),
-        CrashingRequest("/cards/crash") };
+        CrashingRequest("/cards/crash"), CrashingRequest("/lookups/crash") };
     std::map<std::string, const Machine*> crashingRequestSenders_; // Ingress machine by request id.
     TimePoint nextCrashingRequests_;
     std::list<Fault> faults_;
