--- a/tests/sidecar/crashingrequests.cpp
+++ b/tests/sidecar/crashingrequests.cpp
@@ -54,8 +54,13 @@
                 runsBefore[instance->server.get()] = instance->server->runs().size();
         }
         const auto hasRun = [](const auto& server) { return server.first->runs().size() > server.second; };
-        while (!std::all_of(runsBefore.begin(), runsBefore.end(), hasRun))
-            call(index, lookupRequest("innocent"));
+        while (!std::all_of(runsBefore.begin(), runsBefore.end(), hasRun)) {
+            int ended = 0;
+            for (int i = 0; i < manySlots; ++i)
+                instances[static_cast<size_t>(index)]->caller.call(
+                    lookupRequest("innocent"), longTime, [&ended](const CallResult&) { ++ended; });
+            CHECK(runUntil([&ended] { return ended == manySlots; }));
+        }
     }
 
     // Makes the instance's server crash when it starts to work on the crashing request.
