Config: routes have a type; downloads may run again

Cause: the adapter compared a route's type with one word, so a download was handled as a request that runs at most once: after a lost answer its caller got 502. The INI files get 'type'; 'idempotent' still works.

--- a/src/config/configparser.cpp
+++ b/src/config/configparser.cpp
@@ -6,8 +6,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace persimmonfield {
@@ -24,6 +26,12 @@
     constexpr int64_t maxRate = 1'000'000'000;
     constexpr size_t sha256Digits = 64;
 
+    constexpr std::array<std::pair<std::string_view, RouteType>, 3> routeTypes { {
+        { "once", RouteType::Once },
+        { "idempotent", RouteType::Idempotent },
+        { "download", RouteType::Download },
+    } };
+
     struct SourceLocation {
         std::string file;
         int line = 0;
@@ -132,6 +140,12 @@
             }
         }
 
+        static bool hasEntry(const Section& section, const std::string& name)
+        {
+            return std::any_of(section.entries.begin(), section.entries.end(),
+                [&name](const IniEntry& entry) { return entry.name == name; });
+        }
+
         static EntryReader text(std::string& target)
         {
             return [&target](const std::string& value) {
@@ -175,10 +189,23 @@
             result_.configuration.services[section.name] = { section.name, static_cast<int>(partitions) };
         }
 
+        static EntryReader routeType(RouteType& target)
+        {
+            return [&target](const std::string& value) {
+                const auto found = std::find_if(routeTypes.begin(), routeTypes.end(),
+                    [&value](const auto& each) { return each.first == value; });
+                if (found == routeTypes.end())
+                    return false;
+                target = found->second;
+                return true;
+            };
+        }
+
         void readRoute(const Section& section)
         {
             RouteConfig route;
             route.name = section.name;
+            bool isIdempotent = false;
             readFields(section,
                 { { "service", true, text(route.service), "the name of a service" },
                     { "path", true,
@@ -195,7 +222,14 @@
                     { "methods", false, list(route.methods), "a list of methods" },
                     { "teams", false, list(route.teams), "a list of teams" },
                     { "access", true, choice(route.allowsAnonymous, "open", "team"), "'open' or 'team'" },
-                    { "idempotent", false, choice(route.isIdempotent, "yes", "no"), "'yes' or 'no'" } });
+                    { "type", false, routeType(route.type), "'once', 'idempotent' or 'download'" },
+                    { "idempotent", false, choice(isIdempotent, "yes", "no"), "'yes' or 'no'" } });
+            const bool hasType = hasEntry(section, "type");
+            if (hasType && hasEntry(section, "idempotent"))
+                fail(section.location,
+                    fmt::format("route '{}' has both 'type' and 'idempotent'", section.name));
+            if (!hasType && isIdempotent)
+                route.type = RouteType::Idempotent;
             routeLocations_.push_back(section.location);
             result_.configuration.routes.push_back(std::move(route));
         }
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -28,6 +28,13 @@
     int weight = 1; // The share is this weight divided by the sum of all weights.
 };
 
+// How often a route's requests may run.
+enum class RouteType {
+    Once, // At most once for each request of a caller.
+    Idempotent, // Again, also on another server, after a lost answer or a failure.
+    Download, // Like Idempotent; the answers are large.
+};
+
 // Selects the service for matching requests, and the conditions under which they are accepted.
 struct RouteConfig {
     std::string name;
@@ -37,7 +44,7 @@
     std::vector<std::string> methods; // Empty for all methods.
     std::vector<std::string> teams; // Empty for all teams.
     bool allowsAnonymous = false;
-    bool isIdempotent = false;
+    RouteType type = RouteType::Once;
     std::vector<RouteTarget> targets;
     std::string host; // If set, host and pathPrefix select the route instead of pathSegments.
     std::string pathPrefix; // Starts and ends with a slash; the longest matching prefix wins.
@@ -45,6 +52,8 @@
     Milliseconds objective { 0 }; // Time within which a response has its full value; 0 if unknown.
     int priority = 0; // 0 is the most urgent.
     int maxAttempts = 2; // Maximum number of servers to which one request is sent.
+
+    bool isIdempotent() const { return type != RouteType::Once; }
 };
 
 struct TeamConfig {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -107,7 +107,7 @@
     if (service == configuration_->services.end())
         return notRun(RefusalReason::NoRoute, "the route's service is not declared");
     routed.routeName = route.name;
-    routed.isIdempotent = route.isIdempotent;
+    routed.isIdempotent = route.isIdempotent();
     routed.timeout = route.timeout;
     routed.objective = route.objective;
     routed.priority = priorityOf(route, routed.team);
--- a/tests/config/config.cpp
+++ b/tests/config/config.cpp
@@ -37,7 +37,7 @@
     LONGS_EQUAL(0, parsed.errors.size());
     LONGS_EQUAL(64, parsed.configuration.services.at("cards").partitions);
     LONGS_EQUAL(2, parsed.configuration.routes.size());
-    CHECK(parsed.configuration.routes[0].isIdempotent);
+    CHECK(parsed.configuration.routes[0].isIdempotent());
     LONGS_EQUAL(20, parsed.configuration.teams.at("cairnloch").burst);
     CHECK(parsed.configuration.isZoneEvacuated("b"));
     CHECK_FALSE(parsed.configuration.isZoneEvacuated("a"));
@@ -64,6 +64,29 @@
     LONGS_EQUAL(expected.size(), errors.size());
 }
 
+TEST(Configuration, ReadsTheTypesOfRoutes)
+{
+    const std::string route
+        = "[service s]\npartitions = 0\n[route r]\nservice = s\npath = /r\naccess = open\n";
+    const auto typeOf = [&route](const std::string& lines) {
+        const auto parsed = parseConfiguration({ { "fleet.ini", route + lines } });
+        LONGS_EQUAL(0, parsed.errors.size());
+        return parsed.configuration.routes.at(0).type;
+    };
+    CHECK(typeOf("") == RouteType::Once);
+    CHECK(typeOf("type = once\n") == RouteType::Once);
+    CHECK(typeOf("type = idempotent\n") == RouteType::Idempotent);
+    CHECK(typeOf("type = download\n") == RouteType::Download);
+    CHECK(typeOf("idempotent = yes\n") == RouteType::Idempotent);
+    const auto wrong = errorsOf(route + "type = upload\n");
+    LONGS_EQUAL(1, wrong.size());
+    STRCMP_EQUAL(
+        "fleet.ini:7: 'type' must be 'once', 'idempotent' or 'download', not 'upload'", wrong[0].c_str());
+    const auto both = errorsOf(route + "type = once\nidempotent = yes\n");
+    LONGS_EQUAL(1, both.size());
+    STRCMP_EQUAL("fleet.ini:4: route 'r' has both 'type' and 'idempotent'", both[0].c_str());
+}
+
 TEST(Configuration, EveryErrorInAMutatedFileNamesItsFileAndLine)
 {
     const std::string valid = readData("valid.ini");
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -243,6 +243,30 @@
     CHECK(!dialect.readObject("kind", "{}").ok());
 }
 
+// A page of events holds each object once, as it is after the last of them.
+TEST(StoreWire, OfSeveralEventsOfAnObjectTheNewestIsRead)
+{
+    const auto event = [](const char* name, int revision, bool isDeleted) {
+        return nlohmann::json {
+            { "object",
+                { { "metadata", { { "name", name }, { "revision", revision } } }, { "spec", revision } } },
+            { "deleted", isDeleted }
+        };
+    };
+    const nlohmann::json body { { "atRev", 9 },
+        { "events",
+            { event("a", 1, false), event("b", 2, false), event("a", 4, false), event("a", 3, false),
+                event("b", 5, true), event("c", 6, true), event("c", 7, false) } } };
+    const auto page = platform::storeDialect().readEvents("kind", body.dump());
+    CHECK(page.ok());
+    LONGS_EQUAL(3, page->objects.size());
+    LONGS_EQUAL(4, page->objects[0].value.get<int>());
+    LONGS_EQUAL(4, page->objects[0].revision);
+    CHECK(page->objects[1].isDeleted);
+    LONGS_EQUAL(7, page->objects[2].value.get<int>());
+    CHECK_FALSE(page->objects[2].isDeleted);
+}
+
 TEST_GROUP(ConfigurationWire)
 {
     ProtocolAdapter protocol;
@@ -264,11 +288,30 @@
     const RouteConfig& route = read->configuration->routes.front();
     LONGS_EQUAL(2, route.targets.size());
     LONGS_EQUAL(1'200, route.timeout.count());
-    CHECK(route.isIdempotent && !route.allowsAnonymous);
+    CHECK(route.isIdempotent() && !route.allowsAnonymous);
     CHECK(read->configuration->services.at("s").isRangeKeyed);
     STRCMP_EQUAL("t", read->configuration->keys.at(sha256Hex("k")).team.c_str());
 }
 
+// Requests of a type that is not known run at most once.
+TEST(ConfigurationWire, ReadsTheTypesOfRoutes)
+{
+    const std::map<std::string, RouteType> types { { "idempotent", RouteType::Idempotent },
+        { "download", RouteType::Download }, { "non_idempotent", RouteType::Once },
+        { "upload", RouteType::Once }, { "", RouteType::Once }, { "Download", RouteType::Once } };
+    for (const auto& [word, type] : types) {
+        const nlohmann::json rule { { "name", "r" }, { "type", word },
+            { "match", { { "pathPrefix", "/p/" } } }, { "action", { { "service", "s" } } } };
+        const auto read = protocol.readConfiguration(
+            { { "version", "r7" }, { "listeners", { { { "host", "h" }, { "routingRules", { rule } } } } },
+                { "clusters", { { { "name", "s" } } } } });
+        CHECK(read.ok());
+        const RouteConfig& route = read->configuration->routes.front();
+        CHECK_TEXT(route.type == type, word.c_str());
+        CHECK_EQUAL(type != RouteType::Once, route.isIdempotent());
+    }
+}
+
 TEST(ConfigurationWire, MalformedConfigurationsAreErrors)
 {
     for (const char* text : { "{}", R"({"version":"7","listeners":[],"clusters":[]})",
--- a/tests/sidecar/serveranswers.cpp
+++ b/tests/sidecar/serveranswers.cpp
@@ -34,6 +34,7 @@
     };
     addRule("orders", "non_idempotent", "orders");
     addRule("views", "idempotent", "orders");
+    addRule("downloads", "download", "orders");
     addRule("cards", "non_idempotent", "gallery");
     return { { "version", "r1" }, { "listeners", { { { "host", "h" }, { "routingRules", rules } } } },
         { "clusters",
@@ -211,6 +212,26 @@
     }));
 }
 
+TEST(ServerAnswers, DownloadWhoseAnswerIsLostIsServedByAnotherServer)
+{
+    size_t resets = 0;
+    add("orders", [&resets](ScriptedConnection& connection, const std::string&) {
+        connection.reset();
+        ++resets;
+    });
+    add("orders", [](ScriptedConnection& connection, const std::string& request) {
+        connection.send(answerTo(request));
+    });
+    awaitAnswers(0, "/views/1");
+    resets = 0;
+    CHECK(runUntil([&] {
+        const CallResult result = call(0, requestFor("GET", "/downloads/1"));
+        LONGS_EQUAL(200, result.response.status);
+        STRCMP_EQUAL("whole", result.response.body.c_str());
+        return resets > 0;
+    }));
+}
+
 // The server runs the order, but sends a refusal without a request id first. Such a refusal may belong to
 // another request, so it is no proof that the order did not run.
 TEST(ServerAnswers, RefusalWithoutRequestIdDoesNotProveThatTheRequestDidNotRun)
