Sidecar: a malformed frame or an unexpected error does not end the process

Cause: frames between instances are read by a recursive CBOR reader without a bound on depth; one frame of 2 MB of nested arrays overflowed the stack. An exception from any handler left the loop and ended the process.

--- a/src/base/logger.cpp
+++ b/src/base/logger.cpp
@@ -151,6 +151,11 @@
 }
 
 LogWriter::~LogWriter()
+{
+    flushLog();
+}
+
+void flushLog()
 {
     {
         std::lock_guard lock(writeMutex);
@@ -158,7 +163,8 @@
         writerQueue().isStopping = true;
     }
     writerQueue().changed.notify_one();
-    writerQueue().thread.join();
+    if (writerQueue().thread.joinable())
+        writerQueue().thread.join();
 }
 
 }
--- a/src/base/logger.h
+++ b/src/base/logger.h
@@ -32,4 +32,8 @@
     LogWriter& operator=(const LogWriter&) = delete;
 };
 
+// Writes all lines that are still queued. For a process that ends without destroying its LogWriter; later
+// lines are written at once.
+void flushLog();
+
 }
--- a/src/http/httpserverconnection.cpp
+++ b/src/http/httpserverconnection.cpp
@@ -24,6 +24,7 @@
     constexpr int statusBadRequest = 400;
     constexpr int statusTooLarge = 413;
     constexpr int statusHeadersTooLarge = 431;
+    constexpr int statusBadGateway = 502;
 
     HttpRequest toHttpRequest(http::request<http::string_body> message)
     {
@@ -166,7 +167,15 @@
     hasCallerAnnouncedClose_ = isLastRequest;
     pendingExchanges_.push_back(exchange);
     timer_.cancel();
-    server_->handler_(exchange);
+    try {
+        server_->handler_(exchange);
+    } catch (const std::exception& error) {
+        // How far the handler came is not known, so the answer must not say that the request did not run.
+        log(LogLevel::Error, "request-handler-failed", { { "cause", error.what() } });
+        HttpResponse response;
+        response.status = statusBadGateway;
+        exchange->respond(std::move(response));
+    }
 }
 
 // Answers input that is not a valid request, after the answers to the requests before it.
--- a/src/transport/peernetwork.cpp
+++ b/src/transport/peernetwork.cpp
@@ -392,7 +392,14 @@
             log(LogLevel::Warning, "frame-refused", { { "cause", std::string(frame.status().message()) } });
             return;
         }
-        options_.onFrame(id, *std::move(frame));
+        try {
+            options_.onFrame(id, *std::move(frame));
+        } catch (const std::exception& error) {
+            // Whoever waits for an answer to the frame learns from the closed link that none will come.
+            options_.counters->counter("peer_frames_failed_total")++;
+            log(LogLevel::Error, "frame-failed", { { "link", id }, { "cause", error.what() } });
+            close(id);
+        }
     }
 
     void scheduleSilenceCheck()
--- a/tests/http/http.cpp
+++ b/tests/http/http.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -206,6 +207,22 @@
     LONGS_EQUAL(0, exchanges.size());
 }
 
+// It is not known how far the handler came, so the answer must not say that the request did not run.
+TEST(HttpServer, ARequestWhoseHandlerThrowsIsAnsweredAndTheNextOneIsServed)
+{
+    HttpServer throwing(loop, [](const auto& exchange) {
+        if (exchange->request().target == "/1")
+            throw std::runtime_error("unexpected");
+        exchange->respond(answerWith("second"));
+    });
+    CHECK(throwing.listen(drainingServerAddress).ok());
+    RawPeer peer(loop);
+    peer.connect(drainingServerAddress);
+    peer.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(runUntil(loop, [&peer] { return peer.received().find("second") != std::string::npos; }));
+    CHECK(peer.received().find("HTTP/1.1 502") == 0);
+}
+
 TEST(HttpServer, DrainingServerClosesAfterTheAnswer)
 {
     caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/tests/messages/messages.cpp
+++ b/tests/messages/messages.cpp
@@ -48,6 +48,23 @@
     CHECK_FALSE(decodeFrame(std::string(maxFrameBytes + 1, 'x')).ok());
 }
 
+// A frame whose nesting would overflow the stack of the process that reads it.
+TEST(Frame, DeeplyNestedBytesAreRejected)
+{
+    const std::string arrayOfOne(1, '\x81');
+    const std::string mapOfOne = "\xA1\x61m";
+    for (const std::string& opening : { arrayOfOne, mapOfOne }) {
+        std::string bytes;
+        while (bytes.size() + opening.size() < maxFrameBytes)
+            bytes += opening;
+        CHECK_FALSE(decodeFrame(bytes).ok());
+        bytes.back() = '\x01';
+        CHECK_FALSE(decodeFrame(bytes).ok());
+    }
+    // Of indefinite length.
+    CHECK_FALSE(decodeFrame(std::string(maxFrameBytes, '\x9F')).ok());
+}
+
 TEST_GROUP(ReplyMessage) {};
 
 TEST(ReplyMessage, CarriesAllFieldsOfARefusal)
