Limits: token holders are ranked anew only for the teams that a change affects

Cause: at 295 instances and 190 teams, hashing all holders anew at each change of the directory took 8.6 % of the processor time. Change: TeamTokenHolders keeps the ranks; an instance that joins costs one hash a team. A property test compares it with the full ranking.

--- a/src/limits/teamtokenholders.cpp
+++ b/src/limits/teamtokenholders.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace persimmonfield {
@@ -27,4 +29,73 @@
     return holders;
 }
 
+void TeamTokenHolders::setTeams(const std::map<std::string, size_t>& maxHolders)
+{
+    for (auto team = teams_.begin(); team != teams_.end();)
+        team = maxHolders.count(team->first) > 0 ? std::next(team) : teams_.erase(team);
+    for (const auto& [name, count] : maxHolders) {
+        Team& team = teams_[name];
+        if (team.maxHolders == count)
+            continue;
+        team.maxHolders = count;
+        rankAll(name, team);
+    }
+}
+
+void TeamTokenHolders::setInstances(std::vector<std::string> instances)
+{
+    std::vector<std::string> joined;
+    std::set_difference(
+        instances.begin(), instances.end(), instances_.begin(), instances_.end(), std::back_inserter(joined));
+    const bool hasAnyLeft = instances.size() < instances_.size() + joined.size();
+    instances_ = std::move(instances);
+    for (auto& [name, team] : teams_) {
+        const bool hasLostHolder
+            = hasAnyLeft && std::any_of(team.ranks.begin(), team.ranks.end(), [this](const Rank& rank) {
+                  return !std::binary_search(instances_.begin(), instances_.end(), rank.second);
+              });
+        if (hasLostHolder) {
+            rankAll(name, team);
+            continue;
+        }
+        for (const std::string& instance : joined)
+            addRank(team, rankOf(name, instance));
+    }
+}
+
+std::vector<std::string> TeamTokenHolders::holders(const std::string& team) const
+{
+    std::vector<std::string> names;
+    const auto found = teams_.find(team);
+    if (found == teams_.end())
+        return names;
+    for (const auto& [hash, name] : found->second.ranks)
+        names.push_back(name);
+    return names;
+}
+
+TeamTokenHolders::Rank TeamTokenHolders::rankOf(const std::string& team, const std::string& instance)
+{
+    return { stableHash(absl::StrCat(team, "/", instance)), instance };
+}
+
+void TeamTokenHolders::rankAll(const std::string& name, Team& team) const
+{
+    team.ranks.clear();
+    for (const std::string& instance : instances_)
+        addRank(team, rankOf(name, instance));
+}
+
+// Adds the instance if it ranks among the holders.
+void TeamTokenHolders::addRank(Team& team, Rank rank)
+{
+    const bool isFull = team.ranks.size() >= team.maxHolders;
+    if (team.maxHolders == 0 || (isFull && rank < team.ranks.back()))
+        return;
+    if (isFull)
+        team.ranks.pop_back();
+    const auto place = std::upper_bound(team.ranks.begin(), team.ranks.end(), rank, std::greater<>());
+    team.ranks.insert(place, std::move(rank));
+}
+
 }
--- a/src/limits/teamtokenholders.h
+++ b/src/limits/teamtokenholders.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace persimmonfield {
@@ -12,4 +15,35 @@
 std::vector<std::string> teamTokenHolders(
     const std::string& team, const std::vector<std::string>& instances, size_t maxCount);
 
+// The token holders of all teams with a rate, kept up to date while instances join and leave. They are always
+// those that teamTokenHolders() returns, but a change only costs the hashes of the instances that have
+// joined, and a new ranking for the teams that have lost a holder.
+class TeamTokenHolders {
+public:
+    // Sets the teams and the maximum number of holders of each.
+    void setTeams(const std::map<std::string, size_t>& maxHolders);
+
+    // Sets the instances, which are sorted by name.
+    void setInstances(std::vector<std::string> instances);
+
+    // The team's holders, the one with the highest rank first; none for an unknown team.
+    std::vector<std::string> holders(const std::string& team) const;
+
+    const std::vector<std::string>& instances() const { return instances_; }
+
+private:
+    using Rank = std::pair<uint64_t, std::string>; // An instance with the hash of the team and its name.
+    struct Team {
+        size_t maxHolders = 0;
+        std::vector<Rank> ranks; // Of the holders, the highest first.
+    };
+
+    static Rank rankOf(const std::string& team, const std::string& instance);
+    void rankAll(const std::string& name, Team& team) const;
+    static void addRank(Team& team, Rank rank);
+
+    std::vector<std::string> instances_;
+    std::map<std::string, Team> teams_;
+};
+
 }
--- a/tests/limits/teamtokenholders.cpp
+++ b/tests/limits/teamtokenholders.cpp
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
+#include <set>
+
+#include <rapidcheck.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -63,3 +67,32 @@
     for (const auto& [instance, count] : teams)
         CHECK(count > 40 && count < 130);
 }
+
+// Instances join and leave, and rates change; the holders are always those of a full ranking.
+TEST(TeamTokenHolders, KeptUpToDateTheyAreThoseOfAFullRanking)
+{
+    const bool isTrue = rc::check("holders after changes", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        TeamTokenHolders table;
+        std::set<std::string> instances;
+        std::map<std::string, size_t> teams;
+        for (int step = 0; step < 30; ++step) {
+            for (uint64_t changes = random() % 4; changes > 0; --changes) {
+                const std::string instance = "instance-" + std::to_string(random() % 20);
+                if (instances.erase(instance) == 0)
+                    instances.insert(instance);
+            }
+            if (random() % 3 == 0)
+                teams["team-" + std::to_string(random() % 5)] = random() % 9;
+            if (random() % 9 == 0)
+                teams.erase("team-" + std::to_string(random() % 5));
+            const std::vector<std::string> sorted(instances.begin(), instances.end());
+            table.setTeams(teams);
+            table.setInstances(sorted);
+            for (const auto& [team, count] : teams)
+                RC_ASSERT(table.holders(team) == teamTokenHolders(team, sorted, count));
+            RC_ASSERT(table.holders("team-unknown").empty());
+        }
+    });
+    CHECK(isTrue);
+}
