Ownership: key tables in parts, offloads by single keys, offloads that survive a conflict

Causes: 109 owners contend for one object; an offload whose write was refused was lost and planned anew 2.5 s later; requests were counted by 16 keys, so 60 busy neighbours could go to four servers at most, and idle keys moved with them. Tests: RangesStayWithinTheirParts, AnOffloadWhoseWriteWasRefusedIsStillDue, AFewBusyKeysAreSpreadOverManyServers- WithoutIdleKeys, AVeryHighLoadIsSpreadOverManyServersInOneStep.

--- a/src/ownership/keyload.cpp
+++ b/src/ownership/keyload.cpp
@@ -1,65 +1,66 @@
 #include "ownership/keyload.h"
 
-#include "config/configuration.h"
-
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <utility>
 
 namespace persimmonfield {
 namespace {
 
     constexpr std::chrono::seconds decayInterval { 1 };
     constexpr double decayFactor = 0.5;
+    // Weights below this are forgotten.
+    constexpr double minWeight = 0.05;
     // Bounds of the weight of a part that is moved, relative to the wanted weight.
     constexpr double minPart = 0.4;
     constexpr double maxPart = 1.25;
+    // Parts whose weight differs from the wanted one by at most this share of it are equally good.
+    constexpr double weightTolerance = 0.1;
 
     struct Part {
         size_t range = 0;
         int64_t first = 0;
         int64_t last = 0;
-        double weightError = 0; // Difference between its weight and the wanted one.
+        double weightError = 0; // Above the tolerance, relative to the wanted weight.
+
+        bool operator<(const Part& other) const
+        {
+            return std::pair(weightError, last - first)
+                < std::pair(other.weightError, other.last - other.first);
+        }
     };
 
-    // Returns the part of one range whose weight is closest to the wanted one. Inside the range it is cut
-    // only between groups of keys.
+    // The best part that consists of adjacent loaded keys and the idle keys between them.
     std::optional<Part> bestPart(
         const stored::KeyRange& range, size_t index, const KeyLoad& load, double wanted)
     {
-        std::vector<int64_t> cuts { range.first };
-        for (int64_t cut = (range.first / KeyLoad::groupSize + 1) * KeyLoad::groupSize; cut <= range.last;
-             cut += KeyLoad::groupSize)
-            cuts.push_back(cut);
-        cuts.push_back(range.last + 1);
+        const std::vector<int64_t> keys = load.loadedKeys(range.first, range.last);
         std::optional<Part> best;
         double weight = 0;
         size_t begin = 0;
-        for (size_t end = 1; end < cuts.size(); ++end) {
-            weight += load.weight(cuts[end - 1], cuts[end] - 1);
-            while (weight > wanted * maxPart && begin < end) {
-                weight -= load.weight(cuts[begin], cuts[begin + 1] - 1);
+        for (size_t end = 0; end < keys.size(); ++end) {
+            weight += load.weight(keys[end], keys[end]);
+            while (weight > wanted * maxPart) {
+                weight -= load.weight(keys[begin], keys[begin]);
                 ++begin;
             }
-            if (begin == end || weight < wanted * minPart)
+            if (begin > end || weight < wanted * minPart)
                 continue;
-            const double weightError = std::abs(weight - wanted);
-            if (!best || weightError < best->weightError)
-                best = Part { index, cuts[begin], cuts[end] - 1, weightError };
+            const double error = std::abs(weight - wanted) / wanted;
+            const Part part { index, keys[begin], keys[end], std::max(0.0, error - weightTolerance) };
+            if (!best || part < *best)
+                best = part;
         }
         return best;
     }
 
 }
 
-KeyLoad::KeyLoad()
-    : groups_(lastKeyNumber / groupSize + 1)
-{
-}
-
 void KeyLoad::recordRequest(int key, TimePoint now)
 {
     decay(now);
-    groups_[static_cast<size_t>(key / groupSize)] += 1;
+    weights_[key] += 1;
 }
 
 void KeyLoad::decay(TimePoint now)
@@ -67,21 +68,28 @@
     if (now - decayedAt_ < decayInterval)
         return;
     decayedAt_ = now;
-    for (double& group : groups_)
-        group *= decayFactor;
+    for (auto weight = weights_.begin(); weight != weights_.end();) {
+        weight->second *= decayFactor;
+        weight = weight->second < minWeight ? weights_.erase(weight) : std::next(weight);
+    }
 }
 
 double KeyLoad::weight(int64_t first, int64_t last) const
 {
     double sum = 0;
-    for (int64_t group = first / groupSize; group <= last / groupSize; ++group) {
-        const int64_t from = std::max(first, group * groupSize);
-        const int64_t to = std::min(last, group * groupSize + groupSize - 1);
-        sum += groups_[static_cast<size_t>(group)] * static_cast<double>(to - from + 1) / groupSize;
-    }
+    for (auto each = weights_.lower_bound(first); each != weights_.end() && each->first <= last; ++each)
+        sum += each->second;
     return sum;
 }
 
+std::vector<int64_t> KeyLoad::loadedKeys(int64_t first, int64_t last) const
+{
+    std::vector<int64_t> keys;
+    for (auto each = weights_.lower_bound(first); each != weights_.end() && each->first <= last; ++each)
+        keys.push_back(each->first);
+    return keys;
+}
+
 std::optional<stored::KeyTable> offloadKeys(const stored::KeyTable& table, const std::string& instance,
     const KeyLoad& load, double share, const std::string& target)
 {
@@ -95,7 +103,7 @@
         if (!isOwn(table.ranges[i]) || !table.ranges[i].target.empty())
             continue;
         const auto part = bestPart(table.ranges[i], i, load, own * share);
-        if (part && (!best || part->weightError < best->weightError))
+        if (part && (!best || *part < *best))
             best = part;
     }
     if (!best)
--- a/src/ownership/keytable.cpp
+++ b/src/ownership/keytable.cpp
@@ -3,6 +3,7 @@
 #include "config/configuration.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace persimmonfield {
@@ -15,6 +16,11 @@
     // An owner of at least this many ranges merges adjacent ones.
     constexpr int mergeThreshold = 8;
     constexpr int keyCount = lastKeyNumber + 1;
+    constexpr int maxParts = 1'024;
+    // A service with fewer members has one part, since most of its changes would affect several.
+    constexpr size_t minMembersForParts = 16;
+    constexpr size_t membersPerPart = 4;
+    constexpr int maxNewParts = 32;
 
     const KeyMember* findMember(const std::vector<KeyMember>& members, const std::string& instance)
     {
@@ -181,9 +187,10 @@
 
     // Merges adjacent ranges of one owner under the highest of their fences. Their handover data is dropped,
     // because the owner received it when it got the ranges.
-    bool mergeOwnRanges(std::vector<stored::KeyRange>& ranges, const std::string& instance,
-        const ServerIncarnation& incarnation)
+    bool mergeOwnRanges(
+        stored::KeyTable& table, const std::string& instance, const ServerIncarnation& incarnation)
     {
+        std::vector<stored::KeyRange>& ranges = table.ranges;
         const auto isOwn = [&](const stored::KeyRange& range) {
             return range.instance == instance && incarnationOf(range) == incarnation && range.target.empty();
         };
@@ -192,7 +199,8 @@
         bool hasChanged = false;
         std::vector<stored::KeyRange> merged;
         for (stored::KeyRange& range : ranges) {
-            const bool isMergeable = !merged.empty() && isOwn(merged.back()) && isOwn(range);
+            const bool isMergeable = !merged.empty() && isOwn(merged.back()) && isOwn(range)
+                && partOf(table, merged.back().first) == partOf(table, range.first);
             if (isMergeable) {
                 merged.back().last = range.last;
                 merged.back().fence = std::max(merged.back().fence, range.fence);
@@ -212,14 +220,43 @@
             && left.fence == right.fence && left.handover == right.handover && left.target == right.target;
     }
 
+    bool areEqual(const stored::KeyRange& left, const stored::KeyRange& right)
+    {
+        return left.first == right.first && left.last == right.last && differOnlyInBounds(left, right);
+    }
+
+    int64_t firstKeyOf(int part, int parts)
+    {
+        return static_cast<int64_t>(part) * keyCount / parts;
+    }
+
+    // Cuts the ranges that extend over several parts.
+    void cutAtParts(stored::KeyTable& table)
+    {
+        std::vector<stored::KeyRange> cut;
+        for (stored::KeyRange range : table.ranges) {
+            while (partOf(table, range.first) != partOf(table, range.last)) {
+                stored::KeyRange piece = range;
+                piece.last = firstKeyOf(partOf(table, range.first) + 1, partCount(table)) - 1;
+                range.first = piece.last + 1;
+                cut.push_back(std::move(piece));
+            }
+            cut.push_back(std::move(range));
+        }
+        table.ranges = std::move(cut);
+    }
+
     // Sorts the ranges and merges adjacent ones that differ only in their bounds.
-    void normalize(std::vector<stored::KeyRange>& ranges)
+    void normalize(stored::KeyTable& table)
     {
+        std::vector<stored::KeyRange>& ranges = table.ranges;
         std::sort(ranges.begin(), ranges.end(),
             [](const auto& left, const auto& right) { return left.first < right.first; });
         std::vector<stored::KeyRange> merged;
         for (stored::KeyRange& range : ranges) {
-            if (!merged.empty() && differOnlyInBounds(merged.back(), range))
+            const bool isMergeable = !merged.empty() && differOnlyInBounds(merged.back(), range)
+                && partOf(table, merged.back().first) == partOf(table, range.first);
+            if (isMergeable)
                 merged.back().last = range.last;
             else
                 merged.push_back(std::move(range));
@@ -239,7 +276,75 @@
     return key <= range.last ? &range : nullptr;
 }
 
-std::optional<stored::KeyTable> firstTable(const std::string& service, const std::vector<KeyMember>& members)
+int partCount(const stored::KeyTable& table)
+{
+    return static_cast<int>(std::clamp<int64_t>(table.parts.value_or(1), 1, maxParts));
+}
+
+int partOf(const stored::KeyTable& table, int64_t key)
+{
+    const int parts = partCount(table);
+    auto part = static_cast<int>(key * parts / keyCount);
+    // The first key of a part is rounded down.
+    if (part + 1 < parts && key >= firstKeyOf(part + 1, parts))
+        ++part;
+    return part;
+}
+
+int partCountFor(size_t members)
+{
+    if (members < minMembersForParts)
+        return 1;
+    int parts = 1;
+    while (static_cast<size_t>(parts) * membersPerPart < members && parts < maxNewParts)
+        parts *= 2;
+    return parts;
+}
+
+std::vector<stored::KeyRange> rangesOfPart(const stored::KeyTable& table, int part)
+{
+    std::vector<stored::KeyRange> ranges;
+    std::copy_if(table.ranges.begin(), table.ranges.end(), std::back_inserter(ranges),
+        [&](const stored::KeyRange& range) { return partOf(table, range.first) == part; });
+    return ranges;
+}
+
+stored::KeyRange emptyPart(const stored::KeyTable& table, int part)
+{
+    stored::KeyRange range {};
+    range.first = firstKeyOf(part, partCount(table));
+    range.last = firstKeyOf(part + 1, partCount(table)) - 1;
+    return range;
+}
+
+std::optional<int> firstChangedPart(const stored::KeyTable& before, const stored::KeyTable& after)
+{
+    const auto [left, right] = std::mismatch(
+        before.ranges.begin(), before.ranges.end(), after.ranges.begin(), after.ranges.end(), areEqual);
+    if (left == before.ranges.end() && right == after.ranges.end())
+        return std::nullopt;
+    const int last = partCount(after) - 1;
+    const int leftPart = left == before.ranges.end() ? last : partOf(after, left->first);
+    const int rightPart = right == after.ranges.end() ? last : partOf(after, right->first);
+    return std::min(leftPart, rightPart);
+}
+
+stored::KeyTable withPartOf(const stored::KeyTable& table, const stored::KeyTable& source, int part)
+{
+    stored::KeyTable result = table;
+    auto& ranges = result.ranges;
+    ranges.erase(std::remove_if(ranges.begin(), ranges.end(),
+                     [&](const stored::KeyRange& range) { return partOf(table, range.first) == part; }),
+        ranges.end());
+    for (stored::KeyRange& range : rangesOfPart(source, part))
+        ranges.push_back(std::move(range));
+    std::sort(ranges.begin(), ranges.end(),
+        [](const auto& left, const auto& right) { return left.first < right.first; });
+    return result;
+}
+
+std::optional<stored::KeyTable> firstTable(
+    const std::string& service, const std::vector<KeyMember>& members, int parts)
 {
     int64_t slots = 0;
     for (const KeyMember& member : members)
@@ -248,6 +353,8 @@
         return std::nullopt;
     stored::KeyTable table;
     table.service = service;
+    if (parts > 1)
+        table.parts = parts;
     int64_t before = 0;
     for (const KeyMember& member : members) {
         if (!member.acceptsKeys)
@@ -259,6 +366,7 @@
         assignOwner(range, member);
         table.ranges.push_back(std::move(range));
     }
+    cutAtParts(table);
     return table;
 }
 
@@ -270,7 +378,7 @@
     stored::KeyTable table = input.table;
     if (!assignRanges(input, loads, table.ranges) && !offloadToIdleMember(input, loads, table.ranges))
         return std::nullopt;
-    normalize(table.ranges);
+    normalize(table);
     return table;
 }
 
@@ -301,10 +409,10 @@
         }
     }
     if (own.incarnation)
-        hasChanged = mergeOwnRanges(result.ranges, own.instance, *own.incarnation) || hasChanged;
+        hasChanged = mergeOwnRanges(result, own.instance, *own.incarnation) || hasChanged;
     if (!hasChanged)
         return std::nullopt;
-    normalize(result.ranges);
+    normalize(result);
     return result;
 }
 
--- a/src/ownership/keytable.h
+++ b/src/ownership/keytable.h
@@ -35,6 +35,28 @@
 // Returns the range that contains the key, or nullptr if there is none.
 const stored::KeyRange* findRange(const stored::KeyTable& table, int key);
 
+// The ranges of a large service are kept in several objects of the store, its parts, so that members rarely
+// contend for one and a change of a range does not write all of them. No range extends over two parts.
+int partCount(const stored::KeyTable& table);
+
+// The part that contains the key, from 0.
+int partOf(const stored::KeyTable& table, int64_t key);
+
+// The number of parts for a new table.
+int partCountFor(size_t members);
+
+// The ranges of one part.
+std::vector<stored::KeyRange> rangesOfPart(const stored::KeyTable& table, int part);
+
+// A part that is not stored yet: its keys, without an owner.
+stored::KeyRange emptyPart(const stored::KeyTable& table, int part);
+
+// The first part whose ranges differ; nullopt if the tables are equal.
+std::optional<int> firstChangedPart(const stored::KeyTable& before, const stored::KeyTable& after);
+
+// `table` with the ranges of one part from `source`.
+stored::KeyTable withPartOf(const stored::KeyTable& table, const stored::KeyTable& source, int part);
+
 inline ServerIncarnation incarnationOf(const stored::KeyRange& range)
 {
     return { range.server, range.serverStartedMs };
@@ -61,7 +83,8 @@
 
 // Makes the first table of a service: all keys, divided among the members in proportion to their slots.
 // Returns nothing if no member accepts keys.
-std::optional<stored::KeyTable> firstTable(const std::string& service, const std::vector<KeyMember>& members);
+std::optional<stored::KeyTable> firstTable(
+    const std::string& service, const std::vector<KeyMember>& members, int parts = 1);
 
 // Returns the table with all due changes: ranges of lapsed instances and ranges without an owner are assigned
 // to members, and ranges of leaving members get a target. If nothing of this is due, a member with hardly any
--- a/src/ownership/loadspread.cpp
+++ b/src/ownership/loadspread.cpp
@@ -9,7 +9,7 @@
     // At this busyness a backend server still responds nearly as fast as an idle one.
     constexpr double targetBusyness = 0.55;
     // Each portion adds a range to the table, and its keys are briefly not served while it moves.
-    constexpr size_t maxPortions = 8;
+    constexpr size_t maxPortions = 24;
     constexpr double minPortion = 0.05;
 
 }
--- a/tests/ownership/keytable.cpp
+++ b/tests/ownership/keytable.cpp
@@ -4,6 +4,7 @@
 #include "ownership/keygranter.h"
 #include "ownership/keylease.h"
 #include "ownership/keyload.h"
+#include "ownership/keyoffload.h"
 
 #include "config/configuration.h"
 
@@ -203,6 +204,136 @@
     CHECK(weight > 300 && weight < 500);
 }
 
+// A table of many members is kept in parts. Whatever happens to the ranges, none extends over two parts, and
+// writing the changed parts one by one leads to the new table.
+TEST(KeyTable, RangesStayWithinTheirParts)
+{
+    const bool isTrue = rc::check("parts", [](uint64_t seed) {
+        std::mt19937_64 random(seed);
+        std::vector<std::string> names;
+        for (int i = 0; i < 20; ++i)
+            names.push_back("m" + std::to_string(i));
+        auto members = membersNamed(names);
+        const int parts = 1 << (random() % 6);
+        auto table = *firstTable("s", members, parts);
+        for (int step = 0; step < 20; ++step) {
+            KeyMember& changed = members[random() % members.size()];
+            changed.isLeaving = random() % 2 == 0;
+            changed.acceptsKeys = !changed.isLeaving;
+            const std::string lapsed = random() % 4 == 0 ? members[random() % members.size()].instance : "";
+            KeyLoad load;
+            for (int i = 0; i < 30; ++i)
+                load.recordRequest(static_cast<int>(random() % (lastKeyNumber + 1)), start);
+            std::optional<stored::KeyTable> next;
+            if (random() % 2 == 0)
+                next = offloadKeys(table, names[random() % names.size()], load, 0.5, "m0");
+            else
+                next = planTable({ table, members,
+                    [&lapsed](const std::string& name) { return name == lapsed; }, widthOf });
+            stored::KeyTable after = moved(next ? *next : table, members);
+            RC_ASSERT(coversAllKeysOnce(after));
+            for (const stored::KeyRange& range : after.ranges)
+                RC_ASSERT(partOf(after, range.first) == partOf(after, range.last));
+            int writes = 0;
+            for (auto part = firstChangedPart(table, after); part; part = firstChangedPart(table, after)) {
+                table = withPartOf(table, after, *part);
+                RC_ASSERT(coversAllKeysOnce(table));
+                RC_ASSERT(++writes <= parts);
+            }
+        }
+    });
+    CHECK(isTrue);
+}
+
+TEST(KeyTable, OnlyServicesOfManyMembersHaveParts)
+{
+    LONGS_EQUAL(1, partCountFor(1));
+    LONGS_EQUAL(1, partCountFor(15));
+    LONGS_EQUAL(16, partCountFor(36));
+    LONGS_EQUAL(32, partCountFor(109));
+    LONGS_EQUAL(32, partCountFor(2'400));
+}
+
+// A few neighbouring keys get all the traffic of a server that owns many: each target gets some of them, and
+// the idle keys stay.
+TEST(KeyTable, AFewBusyKeysAreSpreadOverManyServersWithoutIdleKeys)
+{
+    constexpr int targets = 20;
+    constexpr int busyKeys = 60;
+    constexpr int requestsPerKey = 10;
+    auto table = *firstTable("s", membersNamed({ "a", "b" }));
+    KeyLoad load;
+    for (int i = 0; i < busyKeys * requestsPerKey; ++i)
+        load.recordRequest(5'000 + i % busyKeys, start);
+    for (int target = 0; target < targets; ++target) {
+        auto offloaded = offloadKeys(table, "a", load, 1.0 / (targets + 1), "t" + std::to_string(target));
+        CHECK(offloaded.has_value());
+        table = *std::move(offloaded);
+    }
+    CHECK(coversAllKeysOnce(table));
+    int64_t movedKeys = 0;
+    double left = busyKeys * requestsPerKey;
+    for (const stored::KeyRange& range : table.ranges) {
+        if (range.target.empty())
+            continue;
+        const double weight = load.weight(range.first, range.last);
+        CHECK(weight >= requestsPerKey && weight <= 4 * requestsPerKey);
+        left -= weight;
+        movedKeys += range.last - range.first + 1;
+    }
+    CHECK(left < busyKeys * requestsPerKey * 0.2);
+    CHECK(movedKeys <= busyKeys);
+}
+
+// Another member writes the table at the same moment. The offload was lost then, and planned anew after 2.5 s
+// only.
+TEST(KeyTable, AnOffloadWhoseWriteWasRefusedIsStillDue)
+{
+    const auto table = *firstTable("s", membersNamed({ "a", "b" }));
+    KeyLoad load;
+    for (int i = 0; i < 1'000; ++i)
+        load.recordRequest(100 + i % 200, start);
+    KeyOffload offload;
+    CHECK(!offload.nextTable(table, "a", load, start).has_value());
+    offload.begin({ { "b", 0.3 }, { "c", 0.3 } }, start);
+    const auto first = offload.nextTable(table, "a", load, start);
+    CHECK(first.has_value());
+    offload.onWritten(false);
+    const auto second = offload.nextTable(table, "a", load, start + Milliseconds(50));
+    CHECK(second.has_value());
+    CHECK(!firstChangedPart(*first, *second).has_value());
+    offload.onWritten(true);
+    CHECK(!offload.nextTable(*second, "a", load, start + Milliseconds(60)).has_value());
+    offload.begin({ { "b", 0.3 } }, start);
+    CHECK(!offload.nextTable(table, "a", load, start + Milliseconds(1'000)).has_value());
+}
+
+// The busy keys are in two parts of the table, which are written one after the other.
+TEST(KeyTable, AnOffloadIsWrittenPartByPart)
+{
+    const auto members = membersNamed({ "a" });
+    auto table = *firstTable("s", members, 16);
+    KeyLoad load;
+    for (const int key : { 10, 4'096 + 10 }) {
+        for (int i = 0; i < 100; ++i)
+            load.recordRequest(key, start);
+    }
+    KeyOffload offload;
+    offload.begin({ { "b", 0.5 }, { "c", 0.5 } }, start);
+    int writes = 0;
+    while (const auto next = offload.nextTable(table, "a", load, start)) {
+        const int part = firstChangedPart(table, *next).value();
+        CHECK(!firstChangedPart(withPartOf(table, *next, part), *next).has_value());
+        table = *next;
+        offload.onWritten(true);
+        ++writes;
+    }
+    LONGS_EQUAL(2, writes);
+    const auto* first = findRange(table, 10);
+    const auto* second = findRange(table, 4'096 + 10);
+    CHECK(!first->target.empty() && !second->target.empty() && first->target != second->target);
+}
+
 // After a power loss, restarted servers waited for the grants of their own earlier incarnations to expire.
 TEST(KeyTable, ALaterIncarnationAtTheSameAddressGetsTheRangesOfEarlierOnesImmediately)
 {
--- a/tests/ownership/loadspread.cpp
+++ b/tests/ownership/loadspread.cpp
@@ -42,6 +42,19 @@
         CHECK(0.15 + portion.share * 4 < 0.75);
 }
 
+// In a large fleet, a third of the traffic of a service can go to a few keys of one server.
+TEST(LoadSpread, AVeryHighLoadIsSpreadOverManyServersInOneStep)
+{
+    std::vector<MemberLoad> others;
+    for (int i = 0; i < 30; ++i)
+        others.push_back({ "m" + std::to_string(i), 0.2 });
+    const auto portions = spreadLoad(9, others);
+    const double left = 9 * (1 - moved(portions));
+    CHECK(left < 0.75);
+    for (const LoadPortion& portion : portions)
+        CHECK(0.2 + portion.share * 9 < 0.75);
+}
+
 TEST(LoadSpread, NoMemberBecomesBusierThanTheSource)
 {
     const auto portions = spreadLoad(2, { { "a", 1.5 }, { "b", 1.8 } });
