--- /dev/null
+++ b/src/sidecar/changefeedfollower.cpp
@@ -0,0 +1,170 @@
+#include "sidecar/changefeedfollower.h"
+
+#include "base/logger.h"
+#include "sidecar/feedbody.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace persimmonfield {
+namespace {
+
+    constexpr Milliseconds stepInterval { 500 };
+    // Keeps the link in use, so that its pings detect the loss of the other instance.
+    constexpr Milliseconds requestInterval { 2'000 };
+    // An instance that has not answered for this long is given up.
+    constexpr Milliseconds answerTimeout { 1'000 };
+    constexpr Milliseconds avoidedAfterFailure { 5'000 };
+    // An instance that refuses may be about to begin to watch the store.
+    constexpr Milliseconds avoidedAfterRefusal { 1'000 };
+
+}
+
+ChangeFeedFollower::ChangeFeedFollower(asio::io_context& loop, std::string self, std::string zone,
+    const FleetDirectory& directory, PeerNetwork& network, StoreSession& store, ChangeFeedServer& server)
+    : choice_(std::move(self))
+    , zone_(std::move(zone))
+    , directory_(directory)
+    , network_(network)
+    , store_(store)
+    , server_(server)
+    , timer_(loop)
+{
+}
+
+void ChangeFeedFollower::start()
+{
+    isStarted_ = true;
+    server_.setServing(true);
+    step();
+}
+
+void ChangeFeedFollower::step()
+{
+    const TimePoint now = BootClock::now();
+    if (isAwaitingPage_ && now - requestedAt_ >= answerTimeout)
+        leave(avoidedAfterFailure, "silent");
+    choose(now);
+    if (!followed_.empty() && !isAwaitingPage_ && now - requestedAt_ >= requestInterval)
+        request(now);
+    timer_.expires_after(stepInterval);
+    timer_.async_wait([this](std::error_code error) {
+        if (!error)
+            step();
+    });
+}
+
+void ChangeFeedFollower::onDirectoryChange()
+{
+    if (isStarted_ && instancesVersion_ != directory_.instancesVersion())
+        choose(BootClock::now());
+}
+
+void ChangeFeedFollower::choose(TimePoint now)
+{
+    if (instancesVersion_ != directory_.instancesVersion()) {
+        instancesVersion_ = directory_.instancesVersion();
+        std::vector<std::string> instances;
+        for (const auto& [name, entry] : directory_.instances()) {
+            if (entry.value.zone == zone_ && !entry.value.departing)
+                instances.push_back(name);
+        }
+        choice_.setInstances(instances);
+    }
+    std::set<std::string> avoided;
+    for (auto instance = avoidedUntil_.begin(); instance != avoidedUntil_.end();) {
+        if (instance->second <= now) {
+            instance = avoidedUntil_.erase(instance);
+            continue;
+        }
+        avoided.insert(instance->first);
+        ++instance;
+    }
+    const std::string chosen = choice_.choose(avoided);
+    if (chosen == followed_)
+        return;
+    followed_ = chosen;
+    isAwaitingPage_ = false;
+    if (followed_.empty())
+        return setFollowing(false);
+    // The changes come from the former instance, or from watches, until the new one has answered.
+    formerLink_ = std::exchange(link_, 0);
+    request(now);
+}
+
+void ChangeFeedFollower::request(TimePoint now)
+{
+    const stored::InstanceEntry* entry = directory_.instance(followed_);
+    peer::PeerMessage message;
+    message.feedRequest = peer::FeedRequest {};
+    for (const auto& [kind, revision] : store_.revisions())
+        message.feedRequest->positions.push_back({ kind, revision });
+    link_ = entry ? network_.linkTo(entry->peerAddress) : 0;
+    if (link_ == 0 || !network_.send(link_, { message, {} }))
+        return leave(avoidedAfterFailure, "unreachable");
+    requestedAt_ = now;
+    isAwaitingPage_ = true;
+}
+
+void ChangeFeedFollower::onPage(LinkId link, const peer::FeedPage& page, const std::string& body)
+{
+    const bool isCurrent = link == link_;
+    if (followed_.empty() || (!isCurrent && link != formerLink_))
+        return;
+    auto objects = readFeedBody(page.kind, body);
+    if (!objects.ok()) {
+        log(LogLevel::Warning, "feed-page-unreadable",
+            { { "from", followed_ }, { "cause", std::string(objects.status().message()) } });
+        return leave(avoidedAfterFailure, "unreadable");
+    }
+    if (isCurrent) {
+        isAwaitingPage_ = false;
+        formerLink_ = 0;
+        setFollowing(true);
+    }
+    StorePage changes;
+    changes.objects = *std::move(objects);
+    changes.revision = page.revision;
+    const bool isEmpty = changes.objects.empty();
+    if (store_.applyFeedPage(page.kind, page.after, changes) != StoreSession::FeedResult::Gap)
+        return;
+    // An empty page after a gap shows that the missing changes are no longer kept.
+    if (isEmpty)
+        store_.relist(page.kind);
+    else if (isCurrent)
+        request(BootClock::now());
+}
+
+void ChangeFeedFollower::onRefusal(LinkId link)
+{
+    if (link == link_ && !followed_.empty())
+        leave(avoidedAfterRefusal, "refused");
+}
+
+void ChangeFeedFollower::onClosed(LinkId link)
+{
+    if (link == link_ && !followed_.empty())
+        leave(avoidedAfterFailure, "link-lost");
+}
+
+// Watches the store again until another instance has answered.
+void ChangeFeedFollower::leave(Duration avoidedFor, const char* cause)
+{
+    log(LogLevel::Info, "feed-left", { { "from", followed_ }, { "cause", cause } });
+    avoidedUntil_[followed_] = BootClock::now() + avoidedFor;
+    followed_.clear();
+    link_ = formerLink_ = 0;
+    isAwaitingPage_ = false;
+    setFollowing(false);
+}
+
+void ChangeFeedFollower::setFollowing(bool isFollowing)
+{
+    store_.setFollowing(isFollowing);
+    server_.setServing(!isFollowing);
+}
+
+}
--- a/src/sidecar/fleetdirectory.cpp
+++ b/src/sidecar/fleetdirectory.cpp
@@ -6,9 +6,12 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/string_view.h>
+#include <absl/strings/strip.h>
 #include <fmt/format.h>
 
 #include <stdexcept>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace persimmonfield {
@@ -19,6 +22,11 @@
 
     constexpr int64_t maxSlots = 1'000'000;
 
+    std::string partName(const std::string& service, int part)
+    {
+        return fmt::format("{}.{}", service, part);
+    }
+
     // Throw if the value cannot be used although it can be parsed.
     void validate(const stored::InstanceEntry& entry)
     {
@@ -77,17 +85,21 @@
     return keyTablePrefix + service;
 }
 
+std::string keyTablePartObjectName(const std::string& service, int part)
+{
+    return keyTablePrefix + partName(service, part);
+}
+
 void FleetDirectory::apply(const StorePage& page, bool isFullListing)
 {
-    ++version_;
     if (isFullListing) {
+        ++instancesVersion_;
         // Results of this instance's writes may be newer than the listing; they are kept.
-        const auto isGone = [&page](const std::string& object, int64_t revision) {
-            for (const StoreObject& each : page.objects) {
-                if (each.name == object)
-                    return false;
-            }
-            return revision <= page.revision;
+        std::unordered_set<std::string_view> listed;
+        for (const StoreObject& object : page.objects)
+            listed.insert(object.name);
+        const auto isGone = [&page, &listed](const std::string& object, int64_t revision) {
+            return listed.count(object) == 0 && revision <= page.revision;
         };
         for (auto entry = instances_.begin(); entry != instances_.end();)
             entry = isGone(instanceObjectName(entry->first), entry->second.revision) ? instances_.erase(entry)
@@ -112,19 +124,18 @@
     if (absl::StartsWith(object.name, instances)) {
         const std::string name = object.name.substr(instances.size());
         updateKnown(instances_, name, object, unreadable_);
+        ++instancesVersion_;
         markDeparture(name);
     } else if (absl::StartsWith(object.name, tables)) {
         updateKnown(tables_, object.name.substr(tables.size()), object, unreadable_);
+        assembledTables_.clear();
     }
 }
 
 bool FleetDirectory::recordDeparture(const std::string& name, const std::string& incarnation)
 {
     departures_[name] = incarnation;
-    if (!markDeparture(name))
-        return false;
-    ++version_;
-    return true;
+    return markDeparture(name);
 }
 
 // Returns whether the entry has changed.
@@ -138,6 +149,7 @@
     if (instance.departing || instance.incarnation != departure->second)
         return false;
     instance.departing = true;
+    ++instancesVersion_;
     return true;
 }
 
@@ -147,16 +159,67 @@
     return found == instances_.end() ? nullptr : &found->second.value;
 }
 
+const stored::InstanceEntry* FleetDirectory::instanceOfObject(const std::string& objectName) const
+{
+    absl::string_view name = objectName;
+    return absl::ConsumePrefix(&name, instancePrefix) ? instance(std::string(name)) : nullptr;
+}
+
+const FleetDirectory::AssembledTable* FleetDirectory::assembledTable(const std::string& service) const
+{
+    const auto first = tables_.find(service);
+    if (first == tables_.end())
+        return nullptr;
+    const auto [assembled, isNew] = assembledTables_.try_emplace(service);
+    if (isNew)
+        assembled->second = assembleTable(service, first->second);
+    return &assembled->second;
+}
+
+FleetDirectory::AssembledTable FleetDirectory::assembleTable(
+    const std::string& service, const Versioned<stored::KeyTable>& first) const
+{
+    const int parts = partCount(first.value);
+    if (parts == 1)
+        return { first, { first.revision } };
+    AssembledTable result;
+    result.whole.revision = first.revision;
+    result.whole.value.service = service;
+    result.whole.value.parts = parts;
+    const stored::KeyTable empty = result.whole.value;
+    for (int part = 0; part < parts; ++part) {
+        const auto known = tables_.find(partName(service, part));
+        result.partRevisions.push_back(known == tables_.end() ? 0 : known->second.revision);
+        result.whole.revision = std::max(result.whole.revision, result.partRevisions.back());
+        auto& ranges = result.whole.value.ranges;
+        if (known == tables_.end()) {
+            ranges.push_back(emptyPart(empty, part));
+            continue;
+        }
+        for (const stored::KeyRange& range : known->second.value.ranges) {
+            if (partOf(empty, range.first) == part && partOf(empty, range.last) == part)
+                ranges.push_back(range);
+        }
+    }
+    return result;
+}
+
 const FleetDirectory::Versioned<stored::KeyTable>* FleetDirectory::keyTable(const std::string& service) const
 {
-    const auto found = tables_.find(service);
-    return found == tables_.end() ? nullptr : &found->second;
+    const AssembledTable* table = assembledTable(service);
+    return table ? &table->whole : nullptr;
 }
 
-int64_t FleetDirectory::keyTableRevision(const std::string& service) const
+int64_t FleetDirectory::keyPartRevision(const std::string& service, int part) const
 {
-    const auto* table = keyTable(service);
-    return table ? table->revision : 0;
+    const AssembledTable* table = assembledTable(service);
+    return table ? table->partRevisions.at(static_cast<size_t>(part)) : 0;
+}
+
+int64_t FleetDirectory::keyTableRevision(const std::string& service, int64_t key) const
+{
+    const AssembledTable* table = assembledTable(service);
+    return table ? keyPartRevision(service, partOf(table->whole.value, key)) : 0;
 }
 
 const std::vector<stored::KeyRange>& FleetDirectory::keyRanges(const std::string& service) const
@@ -178,7 +241,7 @@
     owner.last = range->last;
     owner.instance = range->instance;
     owner.server = range->server;
-    owner.revision = table->revision;
+    owner.revision = keyTableRevision(service, key);
     return owner;
 }
 
--- a/src/sidecar/fleetdirectory.h
+++ b/src/sidecar/fleetdirectory.h
@@ -17,7 +17,10 @@
 inline constexpr const char* fleetKind = "persimmonfield-fleet";
 
 std::string instanceObjectName(const std::string& instance);
+// The object that holds a service's key table, or only states the number of parts if there are several.
 std::string keyTableObjectName(const std::string& service);
+// The object that holds one of several parts.
+std::string keyTablePartObjectName(const std::string& service, int part);
 
 // This instance's copy of the fleet's objects in the store: the instances with their servers, and the key
 // tables. Performs no I/O other than logging.
@@ -39,9 +42,15 @@
 
     const Instances& instances() const { return instances_; }
     const stored::InstanceEntry* instance(const std::string& name) const;
+    // The entry that is stored as the object of this name; null if there is none.
+    const stored::InstanceEntry* instanceOfObject(const std::string& objectName) const;
+    // The whole table with the newest revision of its parts. Parts that are not stored have no owner.
     const Versioned<stored::KeyTable>* keyTable(const std::string& service) const;
-    // The revision is 0 and the ranges are empty when the service has no table.
-    int64_t keyTableRevision(const std::string& service) const;
+    // The revision of the part; 0 if it is not stored.
+    int64_t keyPartRevision(const std::string& service, int part) const;
+    // The revision of the part that contains the key; 0 if it is not stored.
+    int64_t keyTableRevision(const std::string& service, int64_t key) const;
+    // Empty when the service has no table.
     const std::vector<stored::KeyRange>& keyRanges(const std::string& service) const;
 
     // The owner of a key by the key table; nullopt when the key has no owner or is owned by `self`.
@@ -53,8 +62,9 @@
 
     bool isLoaded() const { return isLoaded_; }
 
-    // Increases with each change, so that data derived from the directory can be cached.
-    int64_t version() const { return version_; }
+    // Increases when an instance joins, leaves or changes, so that data derived from the instances can be
+    // cached. Key tables change far more often and are not counted.
+    int64_t instancesVersion() const { return instancesVersion_; }
 
 private:
     void applyObject(const StoreObject& object);
@@ -62,10 +72,19 @@
 
     Instances instances_;
     std::map<std::string, std::string> departures_; // Incarnation that announced its departure, by instance.
-    std::map<std::string, Versioned<stored::KeyTable>> tables_; // By service.
+    // A table assembled from its parts.
+    struct AssembledTable {
+        Versioned<stored::KeyTable> whole;
+        std::vector<int64_t> partRevisions;
+    };
+    const AssembledTable* assembledTable(const std::string& service) const;
+    AssembledTable assembleTable(const std::string& service, const Versioned<stored::KeyTable>& first) const;
+
+    std::map<std::string, Versioned<stored::KeyTable>> tables_; // Objects, by the end of their names.
+    mutable std::map<std::string, AssembledTable> assembledTables_; // By service; emptied by changes.
     std::map<std::string, int64_t> unreadable_; // Revisions of the objects that cannot be used, by name.
     bool isLoaded_ = false;
-    int64_t version_ = 1;
+    int64_t instancesVersion_ = 1;
 };
 
 }
--- a/src/sidecar/ingress.cpp
+++ b/src/sidecar/ingress.cpp
@@ -242,11 +242,11 @@
     const auto known = newerOwners_.find(pending.routed.service);
     if (known == newerOwners_.end())
         return nullptr;
-    const int64_t revision = options_.directory->keyTableRevision(pending.routed.service);
     auto& owners = known->second;
-    owners.erase(std::remove_if(owners.begin(), owners.end(),
-                     [revision](const peer::KeyOwner& owner) { return owner.revision <= revision; }),
-        owners.end());
+    const auto isOutdated = [this, &pending](const peer::KeyOwner& owner) {
+        return owner.revision <= options_.directory->keyTableRevision(pending.routed.service, owner.first);
+    };
+    owners.erase(std::remove_if(owners.begin(), owners.end(), isOutdated), owners.end());
     const auto newest = std::find_if(owners.rbegin(), owners.rend(), [&pending](const peer::KeyOwner& owner) {
         return owner.first <= pending.routed.partition && pending.routed.partition <= owner.last;
     });
@@ -261,7 +261,9 @@
         return false;
     const std::string& service = pending.routed.service;
     const peer::KeyOwner* newer = newerOwner(pending);
-    if (reply.owner->revision <= (newer ? newer->revision : options_.directory->keyTableRevision(service)))
+    const int64_t known
+        = newer ? newer->revision : options_.directory->keyTableRevision(service, pending.routed.partition);
+    if (reply.owner->revision <= known)
         return false;
     auto& owners = newerOwners_[service];
     owners.push_back(*reply.owner);
@@ -274,9 +276,9 @@
 // zones.
 const Ingress::Candidates& Ingress::candidatesOf(const std::string& service)
 {
-    if (candidatesVersion_ != options_.directory->version()) {
+    if (candidatesVersion_ != options_.directory->instancesVersion()) {
         candidates_.clear();
-        candidatesVersion_ = options_.directory->version();
+        candidatesVersion_ = options_.directory->instancesVersion();
     }
     const auto [entry, isNew] = candidates_.try_emplace(service);
     if (isNew)
--- a/src/sidecar/ingress.h
+++ b/src/sidecar/ingress.h
@@ -114,7 +114,7 @@
     std::optional<TimePoint> processEnd_; // Set once new requests are refused.
     std::map<std::string, ServerChoice> serverChoices_; // By service.
     std::map<std::string, Candidates> candidates_; // By service.
-    int64_t candidatesVersion_ = 0; // Version of the directory that the candidates are from.
+    int64_t candidatesVersion_ = 0; // Version of the instances that the candidates are from.
     std::map<std::string, RetryBudget> retryBudgets_; // By service.
     // Key owners that gates have reported from a newer key table than the directory's. By service.
     std::map<std::string, std::vector<peer::KeyOwner>> newerOwners_;
--- a/src/sidecar/keyrangemanager.cpp
+++ b/src/sidecar/keyrangemanager.cpp
@@ -33,7 +33,7 @@
     // Long enough for the effect of one offload to show in the load before the next one.
     constexpr Milliseconds offloadInterval { 2'500 };
     // Number of candidates among which a busy server chooses those that receive its keys.
-    constexpr size_t maxOffloadTargets = 12;
+    constexpr size_t maxOffloadTargets = 32;
     // A server may hold its keys for this many report intervals after its last report.
     constexpr int reportIntervalsPerHold = 3;
 
@@ -182,7 +182,7 @@
     if (!pendingTable_)
         return table;
     const auto isReassigned = [this](const stored::KeyRange& range) {
-        const auto& after = pendingTable_->table.ranges;
+        const auto& after = pendingTable_->write.table.ranges;
         return std::any_of(after.begin(), after.end(), [&range](const stored::KeyRange& each) {
             const bool overlaps = each.first <= range.last && range.first <= each.last;
             return overlaps
@@ -211,14 +211,19 @@
         auto confirmed
             = table && leases_.wasLapsed() ? clearOwners(table->value, options_.settings.name) : std::nullopt;
         if (confirmed)
-            return writeTable(*confirmed, table->revision, true);
-        leases_.confirmed();
-        options_.onChange();
-        updateTable();
-        answerDeferredIfDue();
+            return writeTable(*confirmed, true);
+        endConfirmation();
     });
 }
 
+void KeyRangeManager::endConfirmation()
+{
+    leases_.confirmed();
+    options_.onChange();
+    updateTable();
+    answerDeferredIfDue();
+}
+
 void KeyRangeManager::onDirectoryChange()
 {
     updateTable();
@@ -270,61 +275,79 @@
     const auto* known = options_.directory->keyTable(options_.settings.service);
     if (!known)
         return isPlanner(members, now) && mayCreateFirstTable(members, now)
-            ? firstTable(options_.settings.service, members)
+            ? firstTable(options_.settings.service, members, partCountFor(members.size()))
             : std::nullopt;
     if (now < leases_.grantableUntil()) {
         if (auto table = tableAfterTransfer(known->value, members, now))
             return table;
+        planOffload(members, now);
+        if (auto table = offload_.nextTable(known->value, options_.settings.name, load_, now))
+            return table;
     }
-    if (auto table = offloadedTable(known->value, members, now))
-        return table;
     if (!isPlanner(members, now))
         return std::nullopt;
     for (KeyMember& member : members)
         member.acceptsKeys = member.acceptsKeys && leases_.isFresh(member.instance, now);
-    const auto isLapsed = [this](const std::string& instance) { return leases_.isLapsed(instance); };
-    const bool needsNewListing = std::any_of(known->value.ranges.begin(), known->value.ranges.end(),
-        [&](const stored::KeyRange& range) { return isOwned(range) && isLapsed(range.instance); });
+    if (auto table = tableWithMissingParts(known->value, members))
+        return table;
     // The known leases may be older than the table: an instance that seems to have a lapsed lease may have
     // acquired it again before the table was last written.
-    if (needsNewListing && leases_.listedRevision() < known->revision) {
+    if (leases_.listedRevision() < newestLapsedRevision(known->value)) {
         leases_.list(false);
         return std::nullopt;
     }
+    const auto isLapsed = [this](const std::string& instance) { return leases_.isLapsed(instance); };
     const auto weight
         = [](const stored::KeyRange& range) { return static_cast<double>(range.last - range.first + 1); };
     return planTable({ known->value, std::move(members), isLapsed, weight });
 }
 
+// The table with the ranges of the parts that are not stored yet, as in a first table.
+std::optional<stored::KeyTable> KeyRangeManager::tableWithMissingParts(
+    const stored::KeyTable& table, const std::vector<KeyMember>& members) const
+{
+    const int parts = partCount(table);
+    const auto first = parts > 1 ? firstTable(table.service, members, parts) : std::nullopt;
+    if (!first)
+        return std::nullopt;
+    for (int part = 0; part < parts; ++part) {
+        if (options_.directory->keyPartRevision(table.service, part) == 0)
+            return withPartOf(table, *first, part);
+    }
+    return std::nullopt;
+}
+
+// The newest revision of the parts in which an instance whose lease has lapsed owns ranges.
+int64_t KeyRangeManager::newestLapsedRevision(const stored::KeyTable& table) const
+{
+    int64_t revision = 0;
+    for (const stored::KeyRange& range : table.ranges) {
+        if (isOwned(range) && leases_.isLapsed(range.instance))
+            revision = std::max(revision, options_.directory->keyTableRevision(table.service, range.first));
+    }
+    return revision;
+}
+
 void KeyRangeManager::recordRequest(int key, TimePoint now)
 {
     load_.recordRequest(key, now);
 }
 
-// The table with parts of the local server's keys marked for moving to less busy members; nullopt when the
-// local server is not much busier than others.
-std::optional<stored::KeyTable> KeyRangeManager::offloadedTable(
-    const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now)
+// Decides how much of the local server's load is to move to whom, if it is much busier than others.
+void KeyRangeManager::planOffload(const std::vector<KeyMember>& members, TimePoint now)
 {
     const double own = options_.ownBusyness(now);
-    if (now < nextOffload_ || now >= leases_.grantableUntil() || own < offloadThreshold)
-        return std::nullopt;
-    const auto portions = spreadLoad(own, lessBusyMembers(members, own - minBusynessGap, now));
+    if (offload_.isOpen(now) || now < nextOffload_ || own < offloadThreshold)
+        return;
+    auto portions = spreadLoad(own, lessBusyMembers(members, own - minBusynessGap, now));
     if (portions.empty())
-        return std::nullopt;
+        return;
     nextOffload_ = now + offloadInterval;
     load_.decay(now);
-    std::optional<stored::KeyTable> result;
-    for (const LoadPortion& portion : portions) {
-        const stored::KeyTable& before = result ? *result : table;
-        auto after = offloadKeys(before, options_.settings.name, load_, portion.share, portion.target);
-        if (!after)
-            continue;
-        result = std::move(after);
+    for (const LoadPortion& portion : portions)
         log(LogLevel::Info, "keys-offloaded",
             { { "to", portion.target }, { "share", portion.share }, { "ownBusyness", own } });
-    }
-    return result;
+    offload_.begin(std::move(portions), now);
 }
 
 // The members that accept keys and whose busyness is at most `maxBusyness`. Of many, only a random selection,
@@ -360,23 +383,31 @@
         return;
     }
     if (const auto table = nextTable(now))
-        writeTable(*table, options_.directory->keyTableRevision(options_.settings.service), false);
+        writeTable(*table, false);
 }
 
-void KeyRangeManager::writeTable(const stored::KeyTable& table, int64_t expectedRevision, bool isConfirmation)
+void KeyRangeManager::writeTable(const stored::KeyTable& table, bool isConfirmation)
 {
+    pendingTable_ = PendingTable { firstWriteTo(table, options_.settings.service, *options_.directory),
+        isConfirmation };
+    const KeyTableWrite& write = pendingTable_->write;
     log(LogLevel::Info, "key-table-written",
-        { { "service", table.service }, { "ranges", table.ranges.size() }, { "builtOn", expectedRevision },
+        { { "service", options_.settings.service }, { "object", write.objectName },
+            { "ranges", write.value.ranges.size() }, { "builtOn", write.expectedRevision },
             { "isConfirmation", isConfirmation } });
-    pendingTable_ = PendingTable { table, expectedRevision, isConfirmation };
     sendTable();
 }
 
+// The result of a write that another one has replaced is ignored.
 void KeyRangeManager::sendTable()
 {
-    options_.store->write({ fleetKind, keyTableObjectName(pendingTable_->table.service),
-                              nlohmann::json(pendingTable_->table), pendingTable_->expectedRevision },
-        [this](const StoreWriteResult& result) { onTableWritten(result); });
+    const KeyTableWrite& write = pendingTable_->write;
+    options_.store->write(
+        { fleetKind, write.objectName, nlohmann::json(write.value), write.expectedRevision },
+        [this, number = ++tableWrites_](const StoreWriteResult& result) {
+            if (number == tableWrites_)
+                onTableWritten(result);
+        });
 }
 
 // Notifies the instances that now own a range, and the owner and the target of each range that is going to
@@ -413,13 +444,18 @@
     }
     const bool isApplied = result.outcome == WriteOutcome::Applied;
     if (isApplied && result.object)
-        notifyAffected(before, pendingTable_->table, result.object->revision);
+        notifyAffected(before, pendingTable_->write.table, result.object->revision);
     const bool isConfirmation = pendingTable_->isConfirmation;
     pendingTable_.reset();
-    if (isConfirmation && !isApplied)
-        return confirmRanges();
-    if (isConfirmation)
-        leases_.confirmed();
+    if (isConfirmation) {
+        const auto* table = options_.directory->keyTable(options_.settings.service);
+        const auto more
+            = isApplied && table ? clearOwners(table->value, options_.settings.name) : std::nullopt;
+        if (more)
+            return writeTable(*more, true);
+        return isApplied ? endConfirmation() : confirmRanges();
+    }
+    offload_.onWritten(isApplied);
     if (!isApplied) {
         // Another instance wrote the table first. The random delay lets other instances write as well before
         // the retry.
--- a/src/sidecar/keyrangemanager.h
+++ b/src/sidecar/keyrangemanager.h
@@ -2,10 +2,12 @@
 
 #include "ownership/keygranter.h"
 #include "ownership/keyload.h"
+#include "ownership/keyoffload.h"
 #include "ownership/loadspread.h"
 #include "sidecar/evacuatedzones.h"
 #include "sidecar/fleetdirectory.h"
 #include "sidecar/keyleasemanager.h"
+#include "sidecar/keytablewrite.h"
 #include "sidecar/peerloadtracker.h"
 #include "sidecar/sidecarsettings.h"
 #include "store/storesession.h"
@@ -69,14 +71,17 @@
     std::optional<stored::KeyTable> nextTable(TimePoint now);
     std::optional<stored::KeyTable> tableAfterTransfer(
         const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now) const;
-    std::optional<stored::KeyTable> offloadedTable(
-        const stored::KeyTable& table, const std::vector<KeyMember>& members, TimePoint now);
+    void planOffload(const std::vector<KeyMember>& members, TimePoint now);
     std::vector<MemberLoad> lessBusyMembers(
         const std::vector<KeyMember>& members, double maxBusyness, TimePoint now);
     bool isPlanner(const std::vector<KeyMember>& members, TimePoint now) const;
     bool mayCreateFirstTable(const std::vector<KeyMember>& members, TimePoint now);
-    void writeTable(const stored::KeyTable& table, int64_t expectedRevision, bool isConfirmation);
+    std::optional<stored::KeyTable> tableWithMissingParts(
+        const stored::KeyTable& table, const std::vector<KeyMember>& members) const;
+    int64_t newestLapsedRevision(const stored::KeyTable& table) const;
+    void writeTable(const stored::KeyTable& table, bool isConfirmation);
     void sendTable();
+    void endConfirmation();
     void onTableWritten(const StoreWriteResult& result);
     void notifyAffected(
         const stored::KeyTable& before, const stored::KeyTable& after, int64_t revision) const;
@@ -99,11 +104,11 @@
     // A table write whose outcome is not known yet. Since it may still take effect, it is retried until the
     // outcome is known, and the ranges that it reassigns are not granted in the meantime.
     struct PendingTable {
-        stored::KeyTable table;
-        int64_t expectedRevision = 0;
+        KeyTableWrite write;
         bool isConfirmation = false;
     };
     std::optional<PendingTable> pendingTable_;
+    int64_t tableWrites_ = 0; // Sent so far.
     // A report whose answer is deferred.
     struct DeferredReport {
         std::shared_ptr<ServerReport> report;
@@ -115,6 +120,7 @@
     TimePoint nextTableWrite_;
     KeyLoad load_;
     TimePoint nextOffload_;
+    KeyOffload offload_;
     bool isConfirmingRanges_ = false;
     size_t lastMemberCount_ = 0;
     TimePoint membersStableSince_;
--- a/src/sidecar/servermonitor.cpp
+++ b/src/sidecar/servermonitor.cpp
@@ -52,8 +52,28 @@
     exchange->respond(options_.protocol->writeReportAnswer(answer));
 }
 
+void ServerMonitor::setEarlierEntry(const stored::ServerEntry& entry)
+{
+    earlierEntry_ = entry;
+    if (!server_)
+        return;
+    if (isStale(server_->report) || hadLeft(server_->report.incarnation)) {
+        server_->drainingSince = server_->drainingSince.value_or(TimePoint());
+        publishState("left-before");
+    }
+}
+
+// Whether an earlier run of this instance knew that the server was leaving, which it does only once.
+bool ServerMonitor::hadLeft(const ServerIncarnation& incarnation) const
+{
+    return earlierEntry_ && earlierEntry_->readiness == stored::Readiness::Draining
+        && incarnation == ServerIncarnation { earlierEntry_->id, earlierEntry_->startedMs };
+}
+
 bool ServerMonitor::isStale(const ServerReport& report) const
 {
+    if (earlierEntry_ && report.incarnation.startedMs < earlierEntry_->startedMs)
+        return true;
     if (!server_)
         return false;
     const ServerReport& known = server_->report;
@@ -81,7 +101,7 @@
     }
     const TimePoint now = BootClock::now();
     const bool isNewIncarnation = !server_ || server_->report.incarnation != report.incarnation;
-    const bool wasDraining = !isNewIncarnation && server_->report.isDraining;
+    const bool wasDraining = !isNewIncarnation && server_->drainingSince;
     const bool wasSilent = !isNewIncarnation && server_->isSilent;
     Server server;
     if (!isNewIncarnation)
@@ -90,11 +110,13 @@
         server.drainingSince = now;
     if (!report.isDraining)
         server.drainingSince.reset();
+    if (hadLeft(report.incarnation))
+        server.drainingSince = TimePoint();
     server.report = report;
     server.reportedAt = now;
     server.coldUntil = now + report.coldFor;
     server_ = std::move(server);
-    if (isNewIncarnation || wasDraining != report.isDraining || wasSilent)
+    if (isNewIncarnation || wasDraining != server_->drainingSince.has_value() || wasSilent)
         publishState(isNewIncarnation ? "new-life" : "state");
     else
         options_.gate->setServer(GatedServer {
--- a/src/sidecar/servermonitor.h
+++ b/src/sidecar/servermonitor.h
@@ -36,6 +36,10 @@
 
     void handle(const std::shared_ptr<HttpExchange>& exchange);
 
+    // Sets what an earlier run of this instance has recorded of the server. A report that arrives late must
+    // not bring back a server that had left, or an earlier incarnation of it.
+    void setEarlierEntry(const stored::ServerEntry& entry);
+
     // The server's part of this instance's entry in the store; nullopt before the first report.
     std::optional<stored::ServerEntry> entry() const;
 
@@ -61,12 +65,14 @@
     ServerReportAnswer applyReport(const ServerReport& report, bool& needsKeys);
     void handleLeave(const ServerLeave& leave);
     bool isStale(const ServerReport& report) const;
+    bool hadLeft(const ServerIncarnation& incarnation) const;
     void publishState(const char* cause);
     void startSilenceTimer();
 
     ServerMonitorOptions options_;
     asio::steady_timer silenceTimer_;
     std::optional<Server> server_;
+    std::optional<stored::ServerEntry> earlierEntry_;
 };
 
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -17,6 +17,7 @@
     constexpr const char* secretObject = "secret";
     constexpr const char* secretMember = "secret";
     constexpr Milliseconds secretRetryInterval { 300 };
+    constexpr uint64_t maxJoinDelayMs = 300;
     // Together with the timeout of a store call, this detects a store that has stopped responding within half
     // of the bound on evacuations.
     constexpr Milliseconds storeProbeInterval { 1'000 };
@@ -27,7 +28,8 @@
     // The maximum number of watches on the fleet's objects that all instances together start per second,
     // however often the objects change. This is an eightieth of what a store allows.
     constexpr int64_t fleetWatchesPerSecond = 25;
-    constexpr Milliseconds maxFleetWatchInterval { 2'000 };
+    constexpr Milliseconds minFleetWatchInterval { 250 };
+    constexpr Milliseconds maxFleetWatchInterval { 1'000 };
     // The first instance by name plans the key table; the second one takes over if the first has just left.
     // Both are notified.
     constexpr int notifiedPlanners = 2;
@@ -41,6 +43,16 @@
     // instances are closed after that.
     constexpr Milliseconds connectionCloseMargin { 600 };
 
+    // The revision of the page's newest object. That of the page may be newer, since it counts the changes of
+    // all kinds: an instance that knows every object would seem to be behind.
+    int64_t lastChangeIn(const StorePage& page)
+    {
+        int64_t revision = 0;
+        for (const StoreObject& object : page.objects)
+            revision = std::max(revision, object.revision);
+        return revision;
+    }
+
     // The secret of the links; empty if the object has none.
     std::string secretOf(const StoreObject& object)
     {
@@ -112,6 +124,8 @@
         peerCalls_->onClosed(link, wasOpen);
         peerRequestHandler_->onClosed(link);
         relay_->onClosed(link);
+        feedServer_->onClosed(link);
+        feedFollower_->onClosed(link);
         departureNotifier_->onClosed(link);
     };
     options.onAccepted = [this](LinkId link) { departureNotifier_->onAccepted(link); };
@@ -119,6 +133,12 @@
     departureNotifier_
         = std::make_unique<DepartureNotifier>(loop_, *network_, *gate_, settings_.name, incarnation_);
     relay_ = std::make_unique<StoreRelay>(loop_, settings_.name, directory_, *network_, transport_);
+    feedServer_ = std::make_unique<ChangeFeedServer>(*network_, settings_.name);
+    feedFollower_ = std::make_unique<ChangeFeedFollower>(
+        loop_, settings_.name, settings_.zone, directory_, *network_, store_, *feedServer_);
+    store_.setPageObserver([this](const std::string& kind, const StorePage& page, bool isFullListing) {
+        feedServer_->record(kind, page, isFullListing);
+    });
     peerCalls_ = std::make_unique<PeerCalls>(*network_);
     peerRequestHandler_ = std::make_unique<PeerRequestHandler>(*gate_, *network_);
     teamLimits_ = std::make_unique<TeamLimits>(loop_, settings_.name, directory_, *network_, counters_);
@@ -135,6 +155,7 @@
 
 absl::Status Sidecar::start()
 {
+    store_.setCounters(counters_);
     log(LogLevel::Info, "start",
         { { "incarnation", incarnation_ }, { "zone", settings_.zone }, { "service", settings_.service } });
     for (const auto& [server, address] : { std::pair(&callerServer_, &settings_.callerAddress),
@@ -155,7 +176,7 @@
     store_.watch(protocol_.configurationKind, [this](const StorePage& page, bool) {
         if (!configuration_.apply(page))
             return;
-        gossipChange(protocol_.configurationKind, page.revision);
+        gossipChange(protocol_.configurationKind, lastChangeIn(page));
         onConfiguration();
     });
     store_.watch(protocol_.evacuatedZonesKind, [this](const StorePage& page, bool isFullListing) {
@@ -163,56 +184,61 @@
         if (!zones_.apply(page, isFullListing, BootClock::now()))
             return;
         if (wereKnown)
-            gossipChange(protocol_.evacuatedZonesKind, page.revision);
+            gossipChange(protocol_.evacuatedZonesKind, lastChangeIn(page));
         onZones();
     });
     store_.watch(
         fleetKind, [this](const StorePage& page, bool isFullListing) { onFleet(page, isFullListing); });
+    store_.setWatchInterval(fleetKind, maxFleetWatchInterval);
     store_.probe(protocol_.evacuatedZonesKind, storeProbeInterval);
 }
 
 void Sidecar::onFleet(const StorePage& page, bool isFullListing)
 {
+    const bool isFirst = !directory_.isLoaded();
     directory_.apply(page, isFullListing);
+    const stored::InstanceEntry* own = isFirst ? directory_.instance(settings_.name) : nullptr;
+    if (own && own->incarnation != incarnation_ && own->server)
+        serverMonitor_->setEarlierEntry(*own->server);
     applyCrashCounts(page);
     for (const StoreObject& object : page.objects) {
         if (object.name == secretObject)
             startNetwork(secretOf(object));
     }
-    if (!isJoining_)
-        joinFleet();
+    if (!std::exchange(isJoining_, true))
+        joinFleetAfter(Milliseconds(static_cast<int64_t>(random_() % maxJoinDelayMs)));
     onDirectoryChange();
 }
 
 // Applies the quarantines that the instances of the page have recorded in their entries.
 void Sidecar::applyCrashCounts(const StorePage& page)
 {
-    for (const auto& [name, entry] : directory_.instances()) {
-        const std::string objectName = instanceObjectName(name);
-        const bool isInPage = entry.value.crashCounts
-            && std::any_of(page.objects.begin(), page.objects.end(),
-                [&objectName](const StoreObject& object) { return object.name == objectName; });
-        if (isInPage)
-            quarantine_.onEntry(entry.value, BootClock::now());
+    for (const StoreObject& object : page.objects) {
+        const stored::InstanceEntry* entry = directory_.instanceOfObject(object.name);
+        if (entry && entry->crashCounts)
+            quarantine_.onEntry(*entry, BootClock::now());
     }
 }
 
-// The first instance of the fleet creates the secret of the links.
-void Sidecar::joinFleet()
+// The first instance of the fleet creates the secret of the links. Instances that start together wait for a
+// random time, in which the watch delivers the secret of the fastest one.
+void Sidecar::joinFleetAfter(Duration delay)
+{
+    secretTimer_.expires_after(delay);
+    secretTimer_.async_wait([this](std::error_code error) {
+        if (!error && !network_->isStarted())
+            createSecret();
+    });
+}
+
+void Sidecar::createSecret()
 {
-    if (std::exchange(isJoining_, true))
-        return;
     const nlohmann::json value { { secretMember, randomHex(secretBytes) } };
     store_.write({ fleetKind, secretObject, value, 0 }, [this](const StoreWriteResult& result) {
         if (result.object)
             return startNetwork(secretOf(*result.object));
         log(LogLevel::Info, "fleet-secret-not-written", { { "cause", result.detail } });
-        secretTimer_.expires_after(secretRetryInterval);
-        secretTimer_.async_wait([this](std::error_code error) {
-            isJoining_ = false;
-            if (!error)
-                joinFleet();
-        });
+        joinFleetAfter(secretRetryInterval);
     });
 }
 
@@ -221,6 +247,7 @@
     isJoining_ = true;
     if (secret.empty() || network_->isStarted())
         return;
+    secretTimer_.cancel();
     const absl::Status status = network_->start(secret);
     if (!status.ok())
         log(LogLevel::Error, "peer-address-refused", { { "cause", std::string(status.message()) } });
@@ -228,6 +255,7 @@
         [this](const HttpRequest& request, Duration timeout, const StoreTransport::Done& done) {
             return relay_->call(request, timeout, done);
         });
+    feedFollower_->start();
     publishEntry();
 }
 
@@ -340,8 +368,10 @@
 void Sidecar::onDirectoryChange()
 {
     const auto instances = static_cast<int64_t>(directory_.instances().size());
-    store_.setWatchInterval(
-        fleetKind, std::min(maxFleetWatchInterval, Milliseconds(instances * 1'000 / fleetWatchesPerSecond)));
+    store_.setWatchInterval(fleetKind,
+        std::clamp(Milliseconds(instances * 1'000 / fleetWatchesPerSecond), minFleetWatchInterval,
+            maxFleetWatchInterval));
+    feedFollower_->onDirectoryChange();
     teamLimits_->onDirectoryChange();
     if (keys_)
         keys_->onDirectoryChange();
@@ -376,6 +406,12 @@
         teamLimits_->onShareGrant(*message.shareGrant);
     else if (message.storeChange)
         store_.catchUpTo(message.storeChange->kind, message.storeChange->revision);
+    else if (message.feedRequest)
+        feedServer_->onRequest(link, *message.feedRequest);
+    else if (message.feedPage)
+        feedFollower_->onPage(link, *message.feedPage, frame.body);
+    else if (message.feedRefusal)
+        feedFollower_->onRefusal(link);
     else if (message.crashCounts)
         quarantine_.onCrashCounts(*message.crashCounts, BootClock::now());
     else if (message.departure)
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -2,6 +2,8 @@
 
 #include "base/counters.h"
 #include "http/httpserver.h"
+#include "sidecar/changefeedfollower.h"
+#include "sidecar/changefeedserver.h"
 #include "sidecar/configurationtracker.h"
 #include "sidecar/departurenotifier.h"
 #include "sidecar/entrypublisher.h"
@@ -56,11 +58,14 @@
     // `done`.
     void stop(std::function<void()> done);
 
+    Counters& counters() { return counters_; }
+
 private:
     Sidecar(asio::io_context& loop, SidecarSettings settings, ProtocolAdapter protocol);
 
     void watchStore();
-    void joinFleet();
+    void joinFleetAfter(Duration delay);
+    void createSecret();
     void startNetwork(const std::string& secret);
     void publishEntry();
     void onFleet(const StorePage& page, bool isFullListing);
@@ -91,6 +96,8 @@
     StoreSession store_;
     std::unique_ptr<PeerNetwork> network_; // Started once the fleet's secret is known.
     std::unique_ptr<StoreRelay> relay_;
+    std::unique_ptr<ChangeFeedServer> feedServer_;
+    std::unique_ptr<ChangeFeedFollower> feedFollower_;
     std::unique_ptr<PeerCalls> peerCalls_;
     std::unique_ptr<PeerRequestHandler> peerRequestHandler_;
     std::unique_ptr<TeamLimits> teamLimits_;
--- a/src/sidecar/teamlimits.cpp
+++ b/src/sidecar/teamlimits.cpp
@@ -1,7 +1,6 @@
 #include "sidecar/teamlimits.h"
 
 #include "base/logger.h"
-#include "limits/teamtokenholders.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,23 +9,38 @@
 namespace persimmonfield {
 namespace {
 
-    // The maximum time that a request waits for borrowed tokens.
-    constexpr Milliseconds maxWait { 60 };
+    // The maximum time that a request waits for borrowed tokens. A link may have to be opened first, and on a
+    // small machine the event loop of either side may be late.
+    constexpr Milliseconds maxWait { 250 };
     // An instance that does not answer within this time is assumed to have no tokens.
-    constexpr Milliseconds lenderTimeout { 40 };
+    constexpr Milliseconds lenderTimeout { 150 };
     constexpr Milliseconds timerInterval { 20 };
     // The number of instances that hold a team's tokens is limited: if all instances of a large fleet held
-    // some, each would have too few to lend, and no instance would know which others have any.
+    // some, each would have too few to lend, and no instance would know which others have any. The teams with
+    // lower rates have fewer holders, but enough for the loss of one.
     constexpr size_t maxHolders = 8;
-    // Instances that are asked for tokens at the same time.
+    constexpr size_t minHolders = 3;
+    constexpr int64_t minRatePerHolder = 30; // Tokens per second.
+    // A second instance is asked at the same time only if a request has waited this long, since each question
+    // costs both sides and tokens that are lent twice are missing elsewhere.
+    constexpr Milliseconds secondRequestDelay { 40 };
     constexpr size_t maxOpenTokenRequests = 2;
-    // After all instances have answered that they have no tokens, none is asked for this time.
-    constexpr Milliseconds exhaustedBackoff { 100 };
+    // An instance that has not answered is not asked again for this time.
+    constexpr double silentLenderSeconds = 2;
+    // After all instances have answered that they have no tokens, none is asked for this time. It grows with
+    // the fleet, so that all instances together do not overload the holders of a team beyond its rate.
+    constexpr Milliseconds minExhaustedBackoff { 100 };
+    constexpr int64_t maxExhaustedAsksPerSecond = 400;
     // The number of tokens assumed for an instance about which nothing is known.
     constexpr double assumedLevel = 1.5;
     constexpr double nanosecondsPerSecond = 1e9;
     constexpr double millisecondsPerSecond = 1e3;
 
+    size_t holderCount(const TeamRate& rate)
+    {
+        return std::clamp(static_cast<size_t>(rate.perSecond / minRatePerHolder), minHolders, maxHolders);
+    }
+
 }
 
 TeamLimits::TeamLimits(asio::io_context& loop, const std::string& self, const FleetDirectory& directory,
@@ -54,6 +68,10 @@
                 { { "team", name }, { "perSecond", rate.perSecond }, { "burst", rate.burst },
                     { "before", before->perSecond } });
     }
+    std::map<std::string, size_t> holderCounts;
+    for (const auto& [name, rate] : rates)
+        holderCounts[name] = holderCount(rate);
+    holders_.setTeams(holderCounts);
     buckets_.setRates(std::move(rates), BootClock::now());
     assignHolders();
 }
@@ -63,10 +81,10 @@
     std::vector<std::string> instances;
     for (const auto& [name, entry] : directory_.instances())
         instances.push_back(name);
-    if (instances == instances_)
-        return;
-    instances_ = std::move(instances);
-    assignHolders();
+    if (instances != holders_.instances()) {
+        holders_.setInstances(std::move(instances));
+        assignHolders();
+    }
 }
 
 void TeamLimits::assignHolders()
@@ -76,13 +94,20 @@
     const TimePoint now = BootClock::now();
     for (const std::string& name : buckets_.limitedTeams()) {
         Team& team = teams_[name];
-        team.holders = teamTokenHolders(name, instances_, maxHolders);
+        team.holders = holders_.holders(name);
         const bool isHolder
             = std::find(team.holders.begin(), team.holders.end(), self_) != team.holders.end();
         buckets_.setFraction(name, isHolder ? 1.0 / static_cast<double>(team.holders.size()) : 0, now);
     }
 }
 
+Milliseconds TeamLimits::exhaustedBackoff() const
+{
+    const auto instances = static_cast<int64_t>(holders_.instances().size());
+    return std::max(minExhaustedBackoff,
+        Milliseconds(instances * static_cast<int64_t>(millisecondsPerSecond) / maxExhaustedAsksPerSecond));
+}
+
 void TeamLimits::charge(const std::string& team, const Done& done)
 {
     const TimePoint now = BootClock::now();
@@ -96,7 +121,7 @@
     }
     if (now < state.exhaustedUntil)
         return done(refusal(team, state));
-    state.waiting.push_back({ done, now + maxWait });
+    state.waiting.push_back({ done, now, now + maxWait });
     borrow(team, state, now);
     armTimer();
 }
@@ -107,10 +132,12 @@
     for (auto tokenRequest = team.tokenRequests.begin(); tokenRequest != team.tokenRequests.end();) {
         const bool hasTimedOut = now - tokenRequest->second.at >= lenderTimeout;
         if (hasTimedOut)
-            team.lenders[tokenRequest->first] = { 0, now };
+            team.lenders[tokenRequest->first] = { 1 - holderRate(name, team) * silentLenderSeconds, now };
         tokenRequest = hasTimedOut ? team.tokenRequests.erase(tokenRequest) : std::next(tokenRequest);
     }
-    while (team.tokenRequests.size() < maxOpenTokenRequests) {
+    const bool isUrgent = !team.waiting.empty() && now - team.waiting.front().since >= secondRequestDelay;
+    const size_t maxOpen = isUrgent ? maxOpenTokenRequests : 1;
+    while (team.tokenRequests.size() < maxOpen) {
         const std::string lender = likeliestLender(name, team, now);
         if (lender.empty())
             break;
@@ -130,18 +157,23 @@
         counters_.counter("team_tokens_asked_total")++;
     }
     if (team.tokenRequests.empty() && !team.waiting.empty()) {
-        team.exhaustedUntil = now + exhaustedBackoff;
+        team.exhaustedUntil = now + exhaustedBackoff();
         refuseWaiting(name, team, now, true);
     }
 }
 
+// The tokens that each holder gains in a second.
+double TeamLimits::holderRate(const std::string& name, const Team& team) const
+{
+    const TeamRate* rate = buckets_.rate(name);
+    return static_cast<double>(rate ? rate->perSecond : 0)
+        / static_cast<double>(std::max<size_t>(1, team.holders.size()));
+}
+
 // The instance that is likely to have the most tokens; empty if none is likely to have at least one.
 std::string TeamLimits::likeliestLender(const std::string& name, const Team& team, TimePoint now) const
 {
-    const double fleetRefill
-        = static_cast<double>(std::max<int64_t>(1, buckets_.refillTime(name, 1).count()));
-    const double perSecond
-        = millisecondsPerSecond / fleetRefill / static_cast<double>(std::max<size_t>(1, team.holders.size()));
+    const double perSecond = holderRate(name, team);
     std::string likeliest;
     double highestLevel = 1;
     for (const std::string& instance : team.holders) {
@@ -220,7 +252,7 @@
 {
     Reply reply = notRun(RefusalReason::RateExceeded, "the team's rate is used up");
     reply.retryAfter
-        = buckets_.refillTime(name, static_cast<int64_t>(team.waiting.size()) + 1) + exhaustedBackoff;
+        = buckets_.refillTime(name, static_cast<int64_t>(team.waiting.size()) + 1) + exhaustedBackoff();
     return reply;
 }
 
--- a/src/sidecar/teamlimits.h
+++ b/src/sidecar/teamlimits.h
@@ -3,6 +3,7 @@
 #include "base/counters.h"
 #include "config/configuration.h"
 #include "limits/teambuckets.h"
+#include "limits/teamtokenholders.h"
 #include "messages/reply.h"
 #include "sidecar/fleetdirectory.h"
 #include "transport/peernetwork.h"
@@ -55,6 +56,7 @@
     };
     struct Waiter {
         Done done;
+        TimePoint since;
         TimePoint until;
     };
     struct Team {
@@ -67,7 +69,9 @@
     };
 
     void assignHolders();
+    Milliseconds exhaustedBackoff() const;
     void borrow(const std::string& name, Team& team, TimePoint now);
+    double holderRate(const std::string& name, const Team& team) const;
     std::string likeliestLender(const std::string& name, const Team& team, TimePoint now) const;
     void chargeWaiting(const std::string& name, Team& team, TimePoint now);
     void refuseWaiting(const std::string& name, Team& team, TimePoint now, bool isAll);
@@ -81,7 +85,7 @@
     Counters& counters_;
     TeamBuckets buckets_;
     std::map<std::string, Team> teams_;
-    std::vector<std::string> instances_; // The instances from which holders were assigned.
+    TeamTokenHolders holders_;
     asio::steady_timer timer_;
     bool isTimerArmed_ = false;
 };
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -28,6 +28,9 @@
     // The time in which a watch must deliver a change that another instance has seen. It is longer than the
     // response time of a slow store.
     constexpr Milliseconds catchUpTimeout { 500 };
+    // The first watch of a kind without objects is delayed: when a whole fleet starts, another instance may
+    // pass its first objects on by then.
+    constexpr Milliseconds emptyKindDelay { 2'000 };
     // Delay after a failed call before watches restart. The next call may show that the store is reachable.
     constexpr Milliseconds restartDelay { 500 };
 
@@ -88,11 +91,49 @@
 
     void setInterval(Milliseconds interval) { interval_ = interval; }
 
+    void setFollowing(bool isFollowing)
+    {
+        const bool hasListed = phase_ != Phase::Listing && revision_ > 0;
+        if (isFollowing && hasListed && phase_ != Phase::Following) {
+            if (phase_ == Phase::Watching)
+                session_->transport_.cancelLongPoll(call_);
+            enterPhase(Phase::Following);
+        } else if (!isFollowing && phase_ == Phase::Following) {
+            scheduleWatch();
+        }
+    }
+
+    // Nullopt while the kind is being listed.
+    std::optional<int64_t> knownRevision() const
+    {
+        const bool isListed = phase_ != Phase::Listing && phase_ != Phase::Retrying;
+        return isListed ? std::optional(revision_) : std::nullopt;
+    }
+
+    FeedResult applyFeedPage(int64_t after, const StorePage& page)
+    {
+        if (phase_ != Phase::Following || page.revision <= revision_)
+            return FeedResult::Ignored;
+        if (after > revision_)
+            return FeedResult::Gap;
+        pendingRevision_ = catchUpRevision_;
+        handlePage(page, false);
+        return FeedResult::Applied;
+    }
+
+    void relist()
+    {
+        if (phase_ == Phase::Following)
+            list();
+    }
+
     void catchUpTo(int64_t revision)
     {
         if (revision <= revision_)
             return;
-        if (phase_ == Phase::Pausing || allowsStaleRead_) {
+        // The changes of a kind with an interval would arrive late.
+        const bool isPaced = phase_ == Phase::Following && interval_ > Milliseconds(0);
+        if (isPaced || phase_ == Phase::Pausing || allowsStaleRead_) {
             session_->transport_.cancelLongPoll(call_);
             return startWatch(false);
         }
@@ -103,6 +144,7 @@
         if (isCatchingUp_)
             return;
         isCatchingUp_ = true;
+        catchUpRevision_ = revision;
         runAfter(catchUpTimeout, [this, revision] { restartIfBehind(revision); });
     }
 
@@ -111,6 +153,7 @@
         Listing,
         Watching,
         Pausing, // Waits until the watch interval has passed.
+        Following, // Another instance passes on the changes.
         Retrying, // Waits for the backoff before the next listing.
     };
 
@@ -138,6 +181,11 @@
     // Starts the next watch now, or once the interval since the start of the last watch has passed.
     void scheduleWatch()
     {
+        if (session_->isFollowing_) {
+            const int64_t pending = std::exchange(pendingRevision_, 0);
+            enterPhase(Phase::Following);
+            return catchUpTo(pending);
+        }
         const Duration left
             = watchStartedAt_ ? *watchStartedAt_ + interval_ - BootClock::now() : Duration::zero();
         // With an interval, changes may arrive late anyway, so a stale read is sufficient and cheaper.
@@ -187,16 +235,27 @@
         if (std::exchange(unreadable_, page.unreadable) != page.unreadable && page.unreadable > 0)
             log(LogLevel::Warning, "objects-unreadable",
                 { { "kind", kind_ }, { "count", page.unreadable }, { "cause", page.cause } });
+        if (session_->pageObserver_)
+            session_->pageObserver_(kind_, page, isFullListing);
         if (isFullListing || !page.objects.empty())
             handler_(page, isFullListing);
-        if (session_ && generation == generation_)
-            scheduleWatch();
+        if (!session_ || generation != generation_)
+            return;
+        const bool isEmpty = isFullListing && page.objects.empty();
+        const bool isPaced = interval_ > Milliseconds(0);
+        if (!isEmpty || isPaced || session_->isFollowing_ || pendingRevision_ > revision_)
+            return scheduleWatch();
+        enterPhase(Phase::Pausing);
+        runAfter(emptyKindDelay, [this] { scheduleWatch(); });
     }
 
     void retry(const absl::Status& cause)
     {
         log(LogLevel::Info, "store-watch-broken",
             { { "kind", kind_ }, { "revision", revision_ }, { "cause", std::string(cause.message()) } });
+        // The other instance notices itself whether it can pass on all changes since the last known revision.
+        if (session_->isFollowing_ && revision_ > 0)
+            return enterPhase(Phase::Following);
         enterPhase(Phase::Retrying);
         runAfter(nextBackoff_, [this] { list(); });
         nextBackoff_ = std::min(nextBackoff_ * 2, session_->backoff_.max);
@@ -211,7 +270,8 @@
     std::optional<TimePoint> watchStartedAt_;
     Phase phase_ = Phase::Listing;
     int64_t generation_ = 0; // Incremented on each phase change to recognize outdated callbacks.
-    bool isCatchingUp_ = false; // The watch in flight must deliver a newer revision within catchUpTimeout.
+    bool isCatchingUp_ = false; // catchUpRevision_ must be delivered within catchUpTimeout.
+    int64_t catchUpRevision_ = 0;
     bool allowsStaleRead_ = false; // The watch in flight allows stale reads.
     StoreTransport::CallId call_ = 0; // The watch in flight.
     int64_t revision_ = 0;
@@ -260,7 +320,7 @@
     const Duration sinceLastAnswer = BootClock::now() - transport_.lastAnswerAt();
     const bool isDue = sinceLastAnswer >= interval;
     // While the store is unreachable, the watches retry it.
-    if (isDue && transport_.isReachable())
+    if (isDue && transport_.isReachable() && !isFollowing_)
         list(kind, true, [](const absl::StatusOr<StorePage>&) {});
     probeTimer_.expires_after(isDue ? interval : interval - sinceLastAnswer);
     probeTimer_.async_wait([this, kind, interval](std::error_code error) {
@@ -275,6 +335,37 @@
         watch->restart();
 }
 
+void StoreSession::setFollowing(bool isFollowing)
+{
+    if (std::exchange(isFollowing_, isFollowing) == isFollowing)
+        return;
+    for (const auto& [kind, watch] : watches_)
+        watch->setFollowing(isFollowing);
+}
+
+std::map<std::string, int64_t> StoreSession::revisions() const
+{
+    std::map<std::string, int64_t> revisions;
+    for (const auto& [kind, watch] : watches_) {
+        if (const auto revision = watch->knownRevision())
+            revisions[kind] = *revision;
+    }
+    return revisions;
+}
+
+StoreSession::FeedResult StoreSession::applyFeedPage(
+    const std::string& kind, int64_t after, const StorePage& page)
+{
+    const auto watch = watches_.find(kind);
+    return watch == watches_.end() ? FeedResult::Ignored : watch->second->applyFeedPage(after, page);
+}
+
+void StoreSession::relist(const std::string& kind)
+{
+    if (const auto watch = watches_.find(kind); watch != watches_.end())
+        watch->second->relist();
+}
+
 void StoreSession::setWatchInterval(const std::string& kind, Milliseconds interval)
 {
     watches_.at(kind)->setInterval(interval);
@@ -292,10 +383,18 @@
     listFrom(kind, mayBeStale, {}, done);
 }
 
+void StoreSession::countCall(const char* action, const std::string& kind, bool mayBeStale) const
+{
+    if (counters_)
+        counters_->counter(
+            "store_calls_total", "call", fmt::format("{}{} {}", action, mayBeStale ? "-stale" : "", kind))++;
+}
+
 // Reads page after page. The result has the first page's revision; a watch delivers what changed since then.
 void StoreSession::listFrom(
     const std::string& kind, bool mayBeStale, StorePage collected, const PageCallback& done)
 {
+    countCall("list", kind, mayBeStale);
     const std::string after = collected.objects.empty() ? std::string() : collected.objects.back().name;
     transport_.call(dialect_.list(kind, after, mayBeStale), callTimeout,
         [this, kind, mayBeStale, collected = std::move(collected), done](const CallResult& result) mutable {
@@ -320,6 +419,7 @@
 StoreTransport::CallId StoreSession::fetchEvents(
     const std::string& kind, int64_t afterRevision, bool mayBeStale, const PageCallback& done)
 {
+    countCall("watch", kind, mayBeStale);
     const bool isDirect = transport_.isReachable();
     const Milliseconds wait = isDirect ? watchWait : relayedWatchWait;
     const Milliseconds margin = isDirect ? callTimeout : relayedWatchMargin;
@@ -333,6 +433,7 @@
 
 void StoreSession::write(const StoreWrite& write, const WriteCallback& done)
 {
+    countCall("write", write.kind, false);
     transport_.call(
         dialect_.write(write), callTimeout, [this, kind = write.kind, done](const CallResult& result) {
             StoreWriteResult written;
--- a/src/store/storesession.h
+++ b/src/store/storesession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/counters.h"
 #include "store/objectclient.h"
 #include "store/storedialect.h"
 #include "store/storetransport.h"
@@ -52,17 +53,45 @@
     // Lists the objects of a kind and then watches it; the handler receives the listing and each change.
     void watch(const std::string& kind, ChangeHandler handler);
 
+    // Counts the calls by what they do and the kind of objects, as "store_calls_total" with the label "call".
+    void setCounters(Counters& counters) { counters_ = &counters; }
+
     // Must be called when the store becomes unreachable or reachable again. Restarts watches that failed or
     // that wait on a connection which may be dead. While the store is unreachable, they are relayed through
     // another instance.
     void onReachabilityChanged(bool isReachable);
 
+    // Called with each page that a watch has received, before its handler.
+    using PageObserver
+        = std::function<void(const std::string& kind, const StorePage& page, bool isFullListing)>;
+    void setPageObserver(PageObserver observer) { pageObserver_ = std::move(observer); }
+
+    // While another instance passes the changes on, see applyFeedPage(), no watch is in flight. Afterwards
+    // the watches continue from the last known revisions.
+    void setFollowing(bool isFollowing);
+    bool isFollowing() const { return isFollowing_; }
+
+    // The revisions up to which the watched kinds are known; none for a kind that is being listed.
+    std::map<std::string, int64_t> revisions() const;
+
+    enum class FeedResult {
+        Applied,
+        Ignored, // Nothing is new, or the kind is not followed at present.
+        Gap, // Changes between the last known revision and those of the page are missing.
+    };
+    // Applies all changes after the revision `after` that another instance has passed on.
+    FeedResult applyFeedPage(const std::string& kind, int64_t after, const StorePage& page);
+
+    // Lists the kind anew, because the changes since its last known revision are not to be had.
+    void relist(const std::string& kind);
+
     // Limits watch calls for the kind to one per interval. Changes within an interval are delivered together
     // and may be read from a replica that is stale by some seconds.
     void setWatchInterval(const std::string& kind, Milliseconds interval);
 
     // Makes a stale read of the kind whenever the store has sent no response for `interval`. This detects a
-    // connection path that silently drops packets while only long polls are in flight.
+    // connection path that silently drops packets while only long polls are in flight. Instances that follow
+    // another one need no probe.
     void probe(const std::string& kind, Milliseconds interval);
 
     // Another instance has seen this revision of the kind. If this instance is behind, reads the changes now.
@@ -74,6 +103,7 @@
     class KindWatch;
 
     void restartWatches();
+    void countCall(const char* action, const std::string& kind, bool mayBeStale) const;
     void listFrom(const std::string& kind, bool mayBeStale, StorePage collected, const PageCallback& done);
     StoreTransport::CallId fetchEvents(
         const std::string& kind, int64_t afterRevision, bool mayBeStale, const PageCallback& done);
@@ -82,6 +112,9 @@
     StoreTransport& transport_;
     StoreDialect dialect_;
     StoreRetryBackoff backoff_;
+    Counters* counters_ = nullptr;
+    PageObserver pageObserver_;
+    bool isFollowing_ = false;
     asio::steady_timer restartTimer_;
     asio::steady_timer probeTimer_;
     std::map<std::string, std::shared_ptr<KindWatch>> watches_; // By kind.
--- a/tests/sidecar/fleetdirectory.cpp
+++ b/tests/sidecar/fleetdirectory.cpp
@@ -30,9 +30,9 @@
 TEST(FleetDirectory, ADepartureOutlivesAnEntryThatWasWrittenBeforeIt)
 {
     apply(1, "a");
-    const int64_t version = directory.version();
+    const int64_t version = directory.instancesVersion();
     CHECK(directory.recordDeparture("i0", "a"));
-    CHECK(directory.version() > version);
+    CHECK(directory.instancesVersion() > version);
     CHECK(!directory.recordDeparture("i0", "a"));
     apply(2, "a");
     CHECK(directory.instance("i0")->departing);
--- a/tests/sidecar/sidecarfleet.h
+++ b/tests/sidecar/sidecarfleet.h
@@ -91,6 +91,18 @@
         process.reset();
     }
 
+    // Starts the sidecar again after endProcess().
+    void startProcess()
+    {
+        process = std::make_unique<asio::io_context>(1);
+        sidecar = Sidecar::Builder()
+                      .setSettings(settings)
+                      .setProtocol(platform::platformProtocol())
+                      .build(*process);
+        if (!sidecar->start().ok())
+            std::abort();
+    }
+
     // Starts the next incarnation of the server, which must be stopped.
     void restartServer(asio::io_context& loop)
     {
@@ -118,6 +130,7 @@
     std::unique_ptr<StandInStore> store;
     std::vector<std::unique_ptr<Instance>> instances;
     int64_t requests = 0;
+    bool canAllEnd = false; // Whether each instance has its own loop.
 
     void setup() override
     {
@@ -129,7 +142,8 @@
     {
         for (const std::string& service : services) {
             const auto index = static_cast<int>(instances.size());
-            instances.push_back(std::make_unique<Instance>(loop, index, service, canFirstEnd && index == 0));
+            const bool canEnd = canAllEnd || (canFirstEnd && index == 0);
+            instances.push_back(std::make_unique<Instance>(loop, index, service, canEnd));
         }
         CHECK(runUntil([this] { return isServing(); }));
     }
--- a/tests/sidecar/storewatch.cpp
+++ b/tests/sidecar/storewatch.cpp
@@ -249,3 +249,52 @@
     session.catchUpTo("others", 1'000);
     LONGS_EQUAL(0, store.watchCalls());
 }
+
+// While another instance passes the changes on, the store is not watched.
+TEST(StoreWatch, ChangesThatAreFollowedAreReadInOrder)
+{
+    using Result = StoreSession::FeedResult;
+    const auto page = [](const char* name, int64_t revision) {
+        StoreObject object;
+        object.kind = kind;
+        object.name = name;
+        object.revision = revision;
+        StorePage result;
+        result.objects = { object };
+        result.revision = revision;
+        return result;
+    };
+    watch();
+    CHECK(runUntil([this] { return store.openWatches(kind) == 1; }));
+    const int64_t listed = session.revisions().at(kind);
+    CHECK(session.applyFeedPage(kind, listed, page("early", listed + 1)) == Result::Ignored);
+    session.setFollowing(true);
+    CHECK(runUntil([this] { return store.openWatches(kind) == 0; }));
+    CHECK(session.applyFeedPage(kind, listed, page("first", listed + 2)) == Result::Applied);
+    CHECK(session.applyFeedPage(kind, listed, page("again", listed + 2)) == Result::Ignored);
+    CHECK(session.applyFeedPage(kind, listed + 3, page("third", listed + 4)) == Result::Gap);
+    CHECK(session.applyFeedPage(kind, listed + 1, page("second", listed + 4)) == Result::Applied);
+    CHECK(seen == std::set<std::string>({ "first", "second" }));
+    LONGS_EQUAL(listed + 4, session.revisions().at(kind));
+    // The watch goes on from there.
+    session.setFollowing(false);
+    CHECK(runUntil([this] { return store.openWatches(kind) == 1; }));
+    for (int i = 0; i < 5; ++i)
+        store.put(kind, "later", i);
+    CHECK(sees("later"));
+}
+
+// The other instance does not pass a change on that is known to exist.
+TEST(StoreWatch, AChangeThatDoesNotArriveIsReadFromTheStore)
+{
+    watch();
+    CHECK(runUntil([this] { return store.openWatches(kind) == 1; }));
+    session.setFollowing(true);
+    store.put(kind, "first", {});
+    session.catchUpTo(kind, store.revision());
+    CHECK(sees("first"));
+    LONGS_EQUAL(0, store.openWatches(kind));
+    store.put(kind, "second", {});
+    session.relist(kind);
+    CHECK(sees("second"));
+}
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -62,6 +62,26 @@
         answer(watch.exchange, 503, json::object());
 }
 
+size_t StandInStore::openWatches(const std::string& kind) const
+{
+    return static_cast<size_t>(std::count_if(watches_.begin(), watches_.end(), [&kind](const Watch& watch) {
+        return watch.kind == kind && !watch.exchange->hasCallerDisconnected();
+    }));
+}
+
+void StandInStore::silenceWatches(const std::string& kind, size_t count)
+{
+    for (auto watch = watches_.begin(); watch != watches_.end() && count > 0;) {
+        if (watch->kind != kind || watch->exchange->hasCallerDisconnected()) {
+            ++watch;
+            continue;
+        }
+        silencedWatches_.push_back(std::move(*watch));
+        watch = watches_.erase(watch);
+        --count;
+    }
+}
+
 void StandInStore::remove(const std::string& kind, const std::string& name)
 {
     objects_[{ kind, name }] = { {}, ++revision_, true };
--- a/tests/standins/loopback.h
+++ b/tests/standins/loopback.h
@@ -47,6 +47,11 @@
     // Applies the next `count` writes without sending a response.
     void dropNextWriteResponses(int count) { responsesToDrop_ = count; }
 
+    // Never answers the first `count` open watches of the kind.
+    void silenceWatches(const std::string& kind, size_t count);
+    // The watches of the kind that wait for changes.
+    size_t openWatches(const std::string& kind) const;
+
     int64_t revision() const { return revision_; }
     int64_t writes() const { return writes_; }
     int64_t watchCalls() const { return watchCalls_; }
@@ -84,6 +89,7 @@
     int64_t unansweredTo_ = 0;
     std::map<Key, Object> objects_;
     std::vector<Watch> watches_;
+    std::vector<Watch> silencedWatches_;
     int64_t revision_ = 1;
     int64_t writes_ = 0;
     int64_t watchCalls_ = 0;
