Sidecar: watchers and token holders on the strongest machines, smaller pages, fewer table writes

Changes: bodies of pages are compressed; the written object goes along with the notification instead of a read from the store; a server offloads keys from one request a slot on instead of three quarters; an owner of few ranges merges them only in parts that are written anyway; an entry tells the instance's cores, and those with the most come first as watchers and hold the teams' tokens. Tests: compressed bodies that are cut or changed, InALargeFleetOnlyTheStrongestInstancesAreCandidates. test-sidecar 86 of 86, limits, ownership, platform, messages pass.

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config clang-format clang-tidy curl
     libabsl-dev libwebsocketpp-dev libasio-dev libboost-dev libcpp-httplib-dev libinih-dev libdocopt-dev libfmt-dev
-    nlohmann-json3-dev libxxhash-dev libssl-dev libcpputest-dev librapidcheck-dev)
+    nlohmann-json3-dev libxxhash-dev libssl-dev zlib1g-dev libcpputest-dev librapidcheck-dev)
 missing=()
 for package in "${packages[@]}"; do
     if ! dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed'; then
--- a/src/limits/teamtokenholders.cpp
+++ b/src/limits/teamtokenholders.cpp
@@ -11,6 +11,27 @@
 #include <utility>
 
 namespace persimmonfield {
+namespace {
+
+    // With fewer candidates, the loss of an availability zone would take too many holders.
+    constexpr size_t minCandidates = 12;
+
+}
+
+std::vector<std::string> tokenHolderCandidates(const std::map<std::string, double>& cores)
+{
+    double most = 0;
+    for (const auto& [instance, count] : cores)
+        most = std::max(most, count);
+    std::vector<std::string> all;
+    std::vector<std::string> strongest;
+    for (const auto& [instance, count] : cores) {
+        all.push_back(instance);
+        if (count >= most)
+            strongest.push_back(instance);
+    }
+    return strongest.size() >= minCandidates ? strongest : all;
+}
 
 // Rendezvous hashing: takes the instances with the highest hash of team and instance name.
 std::vector<std::string> teamTokenHolders(
--- a/src/limits/teamtokenholders.h
+++ b/src/limits/teamtokenholders.h
@@ -15,6 +15,12 @@
 std::vector<std::string> teamTokenHolders(
     const std::string& team, const std::vector<std::string>& instances, size_t maxCount);
 
+// The instances that may hold tokens, by the cores that each may use (0 if unknown). Each request for
+// borrowed tokens costs their holder processor time, so in a large fleet of unequal machines only the
+// instances with the most cores hold any; all others then need links to these only. The result is sorted by
+// name.
+std::vector<std::string> tokenHolderCandidates(const std::map<std::string, double>& cores);
+
 // The token holders of all teams with a rate, kept up to date while instances join and leave. They are always
 // those that teamTokenHolders() returns, but a change only costs the hashes of the instances that have
 // joined, and a new ranking for the teams that have lost a holder.
--- a/src/ownership/keytable.cpp
+++ b/src/ownership/keytable.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace persimmonfield {
@@ -15,6 +16,8 @@
     constexpr double minShareOfMean = 0.2;
     // An owner of at least this many ranges merges adjacent ones.
     constexpr int mergeThreshold = 8;
+    // An owner of at least this many ranges merges those of all parts of a table.
+    constexpr int mergeAllThreshold = 40;
     constexpr int keyCount = lastKeyNumber + 1;
     constexpr int maxParts = 1'024;
     // A service with fewer members has one part, since most of its changes would affect several.
@@ -186,21 +189,26 @@
     }
 
     // Merges adjacent ranges of one owner under the highest of their fences. Their handover data is dropped,
-    // because the owner received it when it got the ranges.
-    bool mergeOwnRanges(
-        stored::KeyTable& table, const std::string& instance, const ServerIncarnation& incarnation)
+    // because the owner received it when it got the ranges. An owner of few ranges merges only those in parts
+    // that are written anyway.
+    bool mergeOwnRanges(stored::KeyTable& table, const std::string& instance,
+        const ServerIncarnation& incarnation, const std::set<int>& changedParts)
     {
         std::vector<stored::KeyRange>& ranges = table.ranges;
         const auto isOwn = [&](const stored::KeyRange& range) {
             return range.instance == instance && incarnationOf(range) == incarnation && range.target.empty();
         };
-        if (std::count_if(ranges.begin(), ranges.end(), isOwn) < mergeThreshold)
+        const auto count = std::count_if(ranges.begin(), ranges.end(), isOwn);
+        if (count < mergeThreshold)
             return false;
+        const bool isAnyPartMerged = partCount(table) == 1 || count >= mergeAllThreshold;
         bool hasChanged = false;
         std::vector<stored::KeyRange> merged;
         for (stored::KeyRange& range : ranges) {
+            const int part = partOf(table, range.first);
             const bool isMergeable = !merged.empty() && isOwn(merged.back()) && isOwn(range)
-                && partOf(table, merged.back().first) == partOf(table, range.first);
+                && partOf(table, merged.back().first) == part
+                && (isAnyPartMerged || changedParts.count(part) > 0);
             if (isMergeable) {
                 merged.back().last = range.last;
                 merged.back().fence = std::max(merged.back().fence, range.fence);
@@ -386,7 +394,7 @@
     const stored::KeyTable& table, const OwnServer& own, const std::vector<KeyMember>& members)
 {
     stored::KeyTable result = table;
-    bool hasChanged = false;
+    std::set<int> changedParts;
     for (stored::KeyRange& range : result.ranges) {
         if (range.instance != own.instance || !isOwned(range))
             continue;
@@ -401,16 +409,16 @@
                 assignOwner(range, *target);
             else if (own.incarnation && own.acceptsKeys)
                 assignOwner(range, { own.instance, *own.incarnation, true, false, 1 });
-            hasChanged = true;
+            changedParts.insert(partOf(table, range.first));
         } else if (!isOfEarlierIncarnation && target && target->acceptsKeys && own.isReleased(range)) {
             range.handover = own.handover(range);
             assignOwner(range, *target);
-            hasChanged = true;
+            changedParts.insert(partOf(table, range.first));
         }
     }
-    if (own.incarnation)
-        hasChanged = mergeOwnRanges(result, own.instance, *own.incarnation) || hasChanged;
-    if (!hasChanged)
+    const bool hasMerged
+        = own.incarnation && mergeOwnRanges(result, own.instance, *own.incarnation, changedParts);
+    if (changedParts.empty() && !hasMerged)
         return std::nullopt;
     normalize(result);
     return result;
--- a/src/sidecar/changefeedfollower.cpp
+++ b/src/sidecar/changefeedfollower.cpp
@@ -17,7 +17,7 @@
     constexpr Milliseconds requestInterval { 2'000 };
     // An instance that has not answered for this long is given up.
     constexpr Milliseconds answerTimeout { 1'000 };
-    constexpr Milliseconds avoidedAfterFailure { 5'000 };
+    constexpr Milliseconds avoidedAfterFailure { 10'000 };
     // An instance that refuses may be about to begin to watch the store.
     constexpr Milliseconds avoidedAfterRefusal { 1'000 };
 
@@ -67,12 +67,12 @@
 {
     if (instancesVersion_ != directory_.instancesVersion()) {
         instancesVersion_ = directory_.instancesVersion();
-        std::vector<std::string> instances;
+        std::vector<FeedChoice::Candidate> instances;
         for (const auto& [name, entry] : directory_.instances()) {
             if (entry.value.zone == zone_ && !entry.value.departing)
-                instances.push_back(name);
+                instances.push_back({ name, entry.value.cores.value_or(0) });
         }
-        choice_.setInstances(instances);
+        choice_.setInstances(std::move(instances));
     }
     std::set<std::string> avoided;
     for (auto instance = avoidedUntil_.begin(); instance != avoidedUntil_.end();) {
--- a/src/sidecar/feedchoice.cpp
+++ b/src/sidecar/feedchoice.cpp
@@ -3,7 +3,7 @@
 #include "base/hashing.h"
 
 #include <algorithm>
-#include <cstdint>
+#include <tuple>
 #include <utility>
 
 namespace persimmonfield {
@@ -20,19 +20,20 @@
 {
 }
 
-void FeedChoice::setInstances(const std::vector<std::string>& instances)
+void FeedChoice::setInstances(std::vector<Candidate> instances)
 {
-    std::vector<std::pair<uint64_t, std::string>> ranked;
-    ranked.reserve(instances.size() + 1);
-    for (const std::string& instance : instances) {
-        if (instance != self_)
-            ranked.emplace_back(stableHash(instance), instance);
-    }
-    ranked.emplace_back(stableHash(self_), self_);
-    std::sort(ranked.begin(), ranked.end());
+    const bool isSelfKnown = std::any_of(instances.begin(), instances.end(),
+        [this](const Candidate& candidate) { return candidate.name == self_; });
+    if (!isSelfKnown)
+        instances.push_back({ self_, 0 });
+    const auto rank = [](const Candidate& candidate) {
+        return std::tuple(-candidate.cores, stableHash(candidate.name), candidate.name);
+    };
+    std::sort(instances.begin(), instances.end(),
+        [&rank](const Candidate& left, const Candidate& right) { return rank(left) < rank(right); });
     order_.clear();
-    for (auto& [hash, instance] : ranked)
-        order_.push_back(std::move(instance));
+    for (Candidate& candidate : instances)
+        order_.push_back(std::move(candidate.name));
 }
 
 std::string FeedChoice::choose(const std::set<std::string>& avoided) const
--- a/src/sidecar/feedchoice.h
+++ b/src/sidecar/feedchoice.h
@@ -13,8 +13,14 @@
 public:
     explicit FeedChoice(std::string self);
 
-    // Sets the instances of the zone that may be followed; `self` is added if it is missing.
-    void setInstances(const std::vector<std::string>& instances);
+    struct Candidate {
+        std::string name;
+        double cores = 0; // 0 if unknown.
+    };
+
+    // Sets the instances of the zone that may be followed; `self` is added if it is missing. Those with more
+    // cores come first in the order.
+    void setInstances(std::vector<Candidate> instances);
 
     // The instance to follow, without those in `avoided`; empty if `self` has to watch the store.
     std::string choose(const std::set<std::string>& avoided) const;
--- a/src/sidecar/keyrangemanager.cpp
+++ b/src/sidecar/keyrangemanager.cpp
@@ -26,10 +26,10 @@
     // below conflictJitterMs.
     constexpr Milliseconds conflictDelay { 20 };
     constexpr uint64_t conflictJitterMs = 60;
-    // A server offloads keys when its running and waiting requests take up at least this fraction of its
-    // slots. Only members whose fraction is lower by at least minBusynessGap receive them.
-    constexpr double offloadThreshold = 0.75;
-    constexpr double minBusynessGap = 0.4;
+    // A server offloads keys when it has at least this number of running and waiting requests for each of its
+    // slots. Only members whose number is lower by at least minBusynessGap receive them.
+    constexpr double offloadThreshold = 1;
+    constexpr double minBusynessGap = 0.5;
     // Long enough for the effect of one offload to show in the load before the next one.
     constexpr Milliseconds offloadInterval { 2'500 };
     // Number of candidates among which a busy server chooses those that receive its keys.
@@ -413,7 +413,7 @@
 // Notifies the instances that now own a range, and the owner and the target of each range that is going to
 // move.
 void KeyRangeManager::notifyAffected(
-    const stored::KeyTable& before, const stored::KeyTable& after, int64_t revision) const
+    const stored::KeyTable& before, const stored::KeyTable& after, const StoreObject& object) const
 {
     std::set<std::string> affected;
     for (const stored::KeyRange& range : after.ranges) {
@@ -424,7 +424,7 @@
             affected.insert({ range.instance, range.target });
     }
     for (const std::string& instance : affected)
-        options_.onInstanceAffected(instance, revision);
+        options_.onInstanceAffected(instance, object);
 }
 
 void KeyRangeManager::onTableWritten(const StoreWriteResult& result)
@@ -444,7 +444,7 @@
     }
     const bool isApplied = result.outcome == WriteOutcome::Applied;
     if (isApplied && result.object)
-        notifyAffected(before, pendingTable_->write.table, result.object->revision);
+        notifyAffected(before, pendingTable_->write.table, *result.object);
     const bool isConfirmation = pendingTable_->isConfirmation;
     pendingTable_.reset();
     if (isConfirmation) {
--- a/src/sidecar/keyrangemanager.h
+++ b/src/sidecar/keyrangemanager.h
@@ -37,9 +37,9 @@
     const PeerLoadTracker* peerLoads = nullptr;
     // Called after a write of this instance has changed the key table or its lease.
     std::function<void()> onChange;
-    // Called for each other instance that has to act on a table written here: it now owns a range, or a range
-    // is going to move to it or away from it.
-    std::function<void(const std::string& instance, int64_t revision)> onInstanceAffected;
+    // Called for each other instance that has to act on an object of the table written here: it now owns a
+    // range, or a range is going to move to it or away from it.
+    std::function<void(const std::string& instance, const StoreObject& object)> onInstanceAffected;
 };
 
 // Manages the key ranges of the local server, for a service that is divided by key. Grants keys to the server
@@ -84,7 +84,7 @@
     void endConfirmation();
     void onTableWritten(const StoreWriteResult& result);
     void notifyAffected(
-        const stored::KeyTable& before, const stored::KeyTable& after, int64_t revision) const;
+        const stored::KeyTable& before, const stored::KeyTable& after, const StoreObject& object) const;
     stored::KeyTable grantableTable() const;
     KeyAnswer answerNow(const ServerReport& report);
     bool mayGrantSoon() const;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -3,6 +3,7 @@
 #include "base/hashing.h"
 #include "base/logger.h"
 #include "base/random.h"
+#include "sidecar/feedbody.h"
 
 #include <algorithm>
 #include <utility>
@@ -270,6 +271,8 @@
     entry.service = settings_.service;
     entry.peerAddress = settings_.peerAddress.text();
     entry.departing = isStopping_;
+    if (settings_.cores > 0)
+        entry.cores = settings_.cores;
     entry.server = serverMonitor_->entry();
     if (auto crashCounts = quarantine_.published(); !crashCounts.empty())
         entry.crashCounts = std::move(crashCounts);
@@ -297,8 +300,8 @@
         &store_, &directory_, [this] { return serverMonitor_->incarnation(); },
         [this] { return serverMonitor_->isReady() && !isStopping_; }, &zones_,
         [this](TimePoint now) { return gate_->busyness(now); }, &peerLoads_, [this] { onDirectoryChange(); },
-        [this](const std::string& instance, int64_t revision) {
-            notifyOfChange(instance, fleetKind, revision);
+        [this](const std::string& instance, const StoreObject& object) {
+            notifyOfChange(instance, fleetKind, object.revision, { object });
         } });
     keys_->start();
 }
@@ -309,8 +312,10 @@
     onDirectoryChange();
 }
 
-// Notifies an instance that objects of the kind have changed in a way that concerns it.
-void Sidecar::notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision)
+// Notifies an instance that objects of the kind have changed in a way that concerns it. If they are named, it
+// need not read them from the store.
+void Sidecar::notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision,
+    const std::vector<StoreObject>& objects)
 {
     const stored::InstanceEntry* entry = directory_.instance(instance);
     if (!entry || instance == settings_.name)
@@ -318,7 +323,7 @@
     peer::PeerMessage message;
     message.storeChange = peer::StoreChange { kind, revision };
     if (const LinkId link = network_->linkTo(entry->peerAddress))
-        network_->send(link, { message, {} });
+        network_->send(link, { message, objects.empty() ? std::string() : writeFeedBody(objects) });
 }
 
 // Sends the message to the other instances next to servers of this instance's service.
@@ -355,11 +360,16 @@
     const auto own = directory_.instances().find(settings_.name);
     if (!keys_ || own == directory_.instances().end())
         return;
+    StoreObject object;
+    object.kind = fleetKind;
+    object.name = instanceObjectName(settings_.name);
+    object.revision = own->second.revision;
+    object.value = own->second.value;
     int notified = 0;
     for (const auto& [name, entry] : directory_.instances()) {
         if (entry.value.service != settings_.service || name == settings_.name)
             continue;
-        notifyOfChange(name, fleetKind, own->second.revision);
+        notifyOfChange(name, fleetKind, own->second.revision, { object });
         if (++notified == notifiedPlanners)
             return;
     }
@@ -405,7 +415,7 @@
     else if (message.shareGrant)
         teamLimits_->onShareGrant(*message.shareGrant);
     else if (message.storeChange)
-        store_.catchUpTo(message.storeChange->kind, message.storeChange->revision);
+        onStoreChange(*message.storeChange, frame.body);
     else if (message.feedRequest)
         feedServer_->onRequest(link, *message.feedRequest);
     else if (message.feedPage)
@@ -422,6 +432,20 @@
         log(LogLevel::Warning, "frame-unexpected", { { "link", link } });
 }
 
+// Objects of the fleet that came with the message are used at once. What else has changed up to their
+// revision follows with the next page.
+void Sidecar::onStoreChange(const peer::StoreChange& change, const std::string& body)
+{
+    auto objects = readFeedBody(change.kind, body);
+    if (!objects.ok())
+        log(LogLevel::Warning, "feed-page-unreadable",
+            { { "from", "" }, { "cause", std::string(objects.status().message()) } });
+    if (!objects.ok() || objects->empty() || change.kind != fleetKind)
+        return store_.catchUpTo(change.kind, change.revision);
+    directory_.apply({ *std::move(objects), false, change.revision }, false);
+    onDirectoryChange();
+}
+
 void Sidecar::onDeparture(LinkId link, const peer::Departure& departure)
 {
     if (departure.last) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -73,7 +73,9 @@
     void onZones();
     void onDirectoryChange();
     void notifyPlanners();
-    void notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision);
+    void notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision,
+        const std::vector<StoreObject>& objects = {});
+    void onStoreChange(const peer::StoreChange& change, const std::string& body);
     void gossipChange(const std::string& kind, int64_t revision);
     void broadcastToService(const peer::PeerMessage& message);
     void applyCrashCounts(const StorePage& page);
--- a/src/sidecar/sidecarsettings.h
+++ b/src/sidecar/sidecarsettings.h
@@ -19,6 +19,7 @@
     Address serverAddress;
     Address storeAddress;
     Address metricsAddress; // Port 0 disables the metrics page.
+    double cores = 0; // Processor cores that the process may use; 0 if unknown.
     Milliseconds reportInterval { 1'000 };
     Milliseconds reportTimeout { 1'000 }; // After it the server considers an unanswered report lost.
     // How long a draining server may still be sent requests after its request to drain was acknowledged.
--- a/src/sidecar/teamlimits.cpp
+++ b/src/sidecar/teamlimits.cpp
@@ -78,11 +78,15 @@
 
 void TeamLimits::onDirectoryChange()
 {
-    std::vector<std::string> instances;
+    if (instancesVersion_ == directory_.instancesVersion())
+        return;
+    instancesVersion_ = directory_.instancesVersion();
+    std::map<std::string, double> cores;
     for (const auto& [name, entry] : directory_.instances())
-        instances.push_back(name);
-    if (instances != holders_.instances()) {
-        holders_.setInstances(std::move(instances));
+        cores[name] = entry.value.cores.value_or(0);
+    std::vector<std::string> candidates = tokenHolderCandidates(cores);
+    if (candidates != holders_.instances()) {
+        holders_.setInstances(std::move(candidates));
         assignHolders();
     }
 }
@@ -103,7 +107,7 @@
 
 Milliseconds TeamLimits::exhaustedBackoff() const
 {
-    const auto instances = static_cast<int64_t>(holders_.instances().size());
+    const auto instances = static_cast<int64_t>(directory_.instances().size());
     return std::max(minExhaustedBackoff,
         Milliseconds(instances * static_cast<int64_t>(millisecondsPerSecond) / maxExhaustedAsksPerSecond));
 }
--- a/src/sidecar/teamlimits.h
+++ b/src/sidecar/teamlimits.h
@@ -86,6 +86,7 @@
     TeamBuckets buckets_;
     std::map<std::string, Team> teams_;
     TeamTokenHolders holders_;
+    int64_t instancesVersion_ = 0; // Of the directory when the holders were assigned.
     asio::steady_timer timer_;
     bool isTimerArmed_ = false;
 };
--- a/tests/limits/teamtokenholders.cpp
+++ b/tests/limits/teamtokenholders.cpp
@@ -96,3 +96,21 @@
     });
     CHECK(isTrue);
 }
+
+TEST(TeamTokenHolders, InALargeFleetOnlyTheStrongestInstancesAreCandidates)
+{
+    std::map<std::string, double> cores;
+    for (const std::string& name : instancesNamed(40))
+        cores[name] = 0.1;
+    LONGS_EQUAL(40, tokenHolderCandidates(cores).size());
+    for (int i = 0; i < 11; ++i)
+        cores["strong-" + std::to_string(i)] = 0.5;
+    LONGS_EQUAL(51, tokenHolderCandidates(cores).size());
+    cores["strong-11"] = 0.5;
+    const auto candidates = tokenHolderCandidates(cores);
+    LONGS_EQUAL(12, candidates.size());
+    CHECK(std::is_sorted(candidates.begin(), candidates.end()));
+    CHECK(std::all_of(candidates.begin(), candidates.end(),
+        [](const std::string& name) { return name.find("strong") == 0; }));
+    CHECK(tokenHolderCandidates({}).empty());
+}
--- a/tests/sidecar/changefeed.cpp
+++ b/tests/sidecar/changefeed.cpp
@@ -18,22 +18,22 @@
 
 namespace {
 
-std::vector<std::string> instancesNamed(int count)
+std::vector<FeedChoice::Candidate> instancesNamed(int count)
 {
-    std::vector<std::string> names;
+    std::vector<FeedChoice::Candidate> instances;
     for (int i = 0; i < count; ++i)
-        names.push_back("instance-" + std::to_string(i));
-    return names;
+        instances.push_back({ "instance-" + std::to_string(i), i % 3 == 0 ? 0.5 : 0.1 });
+    return instances;
 }
 
-std::map<std::string, std::string> followedByAll(
-    const std::vector<std::string>& instances, const std::function<std::set<std::string>()>& avoided)
+std::map<std::string, std::string> followedByAll(const std::vector<FeedChoice::Candidate>& instances,
+    const std::function<std::set<std::string>()>& avoided)
 {
     std::map<std::string, std::string> followed;
-    for (const std::string& instance : instances) {
-        FeedChoice choice(instance);
+    for (const FeedChoice::Candidate& instance : instances) {
+        FeedChoice choice(instance.name);
         choice.setInstances(instances);
-        followed[instance] = choice.choose(avoided());
+        followed[instance.name] = choice.choose(avoided());
     }
     return followed;
 }
@@ -53,8 +53,11 @@
         LONGS_EQUAL(watchers, followers[""]);
         followers.erase("");
         LONGS_EQUAL(size == 1 ? 0 : watchers, followers.size());
-        for (const auto& [instance, count] : followers)
+        for (const auto& [instance, count] : followers) {
             CHECK(count < 36);
+            // An instance with more cores.
+            LONGS_EQUAL(0, std::stoi(instance.substr(instance.find('-') + 1)) % 3);
+        }
     }
 }
 
@@ -66,14 +69,14 @@
         const auto instances = instancesNamed(1 + static_cast<int>(random() % 60));
         const auto followed = followedByAll(instances, [&] {
             std::set<std::string> avoided;
-            for (const std::string& instance : instances) {
+            for (const FeedChoice::Candidate& instance : instances) {
                 if (random() % 3 == 0)
-                    avoided.insert(instance);
+                    avoided.insert(instance.name);
             }
             return avoided;
         });
-        for (const std::string& instance : instances) {
-            std::string at = instance;
+        for (const FeedChoice::Candidate& instance : instances) {
+            std::string at = instance.name;
             for (size_t steps = 0; !at.empty(); ++steps) {
                 RC_ASSERT(steps <= instances.size());
                 at = followed.at(at);
@@ -115,6 +118,20 @@
              R"([{"name":17,"revision":1,"value":1}])", R"([{"name":"n","revision":"1","value":1}])" })
         CHECK(!readFeedBody("kind", body).ok());
     CHECK(!readFeedBody("kind", std::string(100'000, '[')).ok());
+    // Compressed texts that are cut off, changed, or said to be very large.
+    StoreObject large;
+    large.name = "large";
+    large.value = std::string(100'000, 'x');
+    const std::string compressed = writeFeedBody({ large });
+    CHECK(compressed.size() < 10'000);
+    CHECK(readFeedBody("kind", compressed)->at(0).value == large.value);
+    for (size_t size = 1; size < compressed.size(); size += 7)
+        CHECK(!readFeedBody("kind", compressed.substr(0, size)).ok());
+    for (size_t at = 1; at < 5; ++at) {
+        std::string changed = compressed;
+        changed[at] = static_cast<char>(changed[at] ^ 0x81);
+        CHECK(!readFeedBody("kind", changed).ok());
+    }
     CHECK(readFeedBody("kind", "").ok());
 }
 
@@ -148,13 +165,13 @@
     // The index of the instance that watches the store for a zone.
     int watcherOf(int zone)
     {
-        std::vector<std::string> names;
+        std::vector<FeedChoice::Candidate> candidates;
         for (size_t i = static_cast<size_t>(zone); i < instances.size(); i += zoneCount)
-            names.push_back(instances[i]->settings.name);
-        FeedChoice own(names[0]);
-        own.setInstances(names);
+            candidates.push_back({ instances[i]->settings.name, 0 });
+        FeedChoice own(candidates[0].name);
+        own.setInstances(candidates);
         const std::string followed = own.choose({});
-        const std::string watcher = followed.empty() ? names[0] : followed;
+        const std::string watcher = followed.empty() ? candidates[0].name : followed;
         return std::stoi(watcher.substr(1));
     }
 };
