--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -22,11 +22,11 @@
     result->teams["b"] = { "b", 1, 1 };
     result->keys["ka"] = { "ka", "a", sha256Hex("key-a") };
     result->keys["kb"] = { "kb", "b", sha256Hex("key-b") };
+    result->routes.push_back({ "cards", "cards", { "cards", "{key}", "*" }, {}, { "GET" }, { "a" }, false,
+        RouteType::Idempotent, {}, {}, {} });
+    result->routes.push_back({ "open", "print", { "open" }, {}, {}, {}, true, RouteType::Once, {}, {}, {} });
     result->routes.push_back(
-        { "cards", "cards", { "cards", "{key}", "*" }, {}, { "GET" }, { "a" }, false, true, {}, {}, {} });
-    result->routes.push_back({ "open", "print", { "open" }, {}, {}, {}, true, false, {}, {}, {} });
-    result->routes.push_back(
-        { "header", "cards", { "by-header" }, "X-Card", {}, {}, false, false, {}, {}, {} });
+        { "header", "cards", { "by-header" }, "X-Card", {}, {}, false, RouteType::Once, {}, {}, {} });
     return result;
 }
 
