Ownership: leases are renewed every 1.5 s and end after 7 s again

Cause: renewing them every 3 s with a term of 8.5 s saved calls to the store, but the keys of a lost instance were served again after 8.87 s instead of 7.34 s: callers paid for a price.

--- a/src/ownership/keylease.h
+++ b/src/ownership/keylease.h
@@ -14,8 +14,8 @@
 // How long an instance may grant keys to its backend server after a lease renewal, and how often it renews.
 struct KeyLeaseTiming {
     // Longer than a typical outage of the store. The keys of a lost instance can only be taken over after it.
-    Milliseconds term { 8'500 };
-    Milliseconds renewalInterval { 3'000 };
+    Milliseconds term { 7'000 };
+    Milliseconds renewalInterval { 1'500 };
     // Maximum clock rate difference between two instances, or between an instance and its backend server.
     int driftPercent = 2;
     // Added when waiting for another instance's lease to expire: covers scheduling delays and a last message
