--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -31,12 +31,6 @@
     constexpr int64_t fleetWatchesPerSecond = 25;
     constexpr Milliseconds minFleetWatchInterval { 250 };
     constexpr Milliseconds maxFleetWatchInterval { 1'000 };
-    // The first instance by name plans the key table; the second one takes over if the first has just left.
-    // Both are notified.
-    constexpr int notifiedPlanners = 2;
-    // The number of other instances that each instance notifies of a change made by the operator. If all
-    // instances do so, hardly any instance is missed.
-    constexpr int changeFanout = 3;
     // Requests that are still open when less than this is left before the process is killed are ended, and
     // their callers get a refusal.
     constexpr Milliseconds stopMargin { 900 };
@@ -91,7 +85,7 @@
     , transport_(loop, settings_.storeAddress)
     , store_(loop, transport_, protocol_.store)
     , quarantine_({ settings_.name, incarnation_, &counters_,
-          [this](const peer::PeerMessage& message) { broadcastToService(message); },
+          [this](const peer::PeerMessage& message) { notifier_->tellService(message); },
           [this] { publishEntry(); } })
     , callerServer_(loop, [this](const auto& exchange) { ingress_->handle(exchange); })
     , reportServer_(loop, [this](const auto& exchange) { serverMonitor_->handle(exchange); })
@@ -113,7 +107,8 @@
                 onDirectoryChange();
             } });
     entryPublisher_ = std::make_unique<EntryPublisher>(loop_, store_, directory_, [this] {
-        notifyPlanners();
+        if (keys_)
+            notifier_->tellPlanners();
         onDirectoryChange();
     });
     PeerNetworkOptions options;
@@ -131,6 +126,8 @@
     };
     options.onAccepted = [this](LinkId link) { departureNotifier_->onAccepted(link); };
     network_ = std::make_unique<PeerNetwork>(std::move(options));
+    notifier_
+        = std::make_unique<ChangeNotifier>(settings_.name, settings_.service, directory_, *network_, random_);
     departureNotifier_
         = std::make_unique<DepartureNotifier>(loop_, *network_, *gate_, settings_.name, incarnation_);
     relay_ = std::make_unique<StoreRelay>(loop_, settings_.name, directory_, *network_, transport_);
@@ -177,7 +174,7 @@
     store_.watch(protocol_.configurationKind, [this](const StorePage& page, bool) {
         if (!configuration_.apply(page))
             return;
-        gossipChange(protocol_.configurationKind, lastChangeIn(page));
+        notifier_->gossip(protocol_.configurationKind, lastChangeIn(page));
         onConfiguration();
     });
     store_.watch(protocol_.evacuatedZonesKind, [this](const StorePage& page, bool isFullListing) {
@@ -185,7 +182,7 @@
         if (!zones_.apply(page, isFullListing, BootClock::now()))
             return;
         if (wereKnown)
-            gossipChange(protocol_.evacuatedZonesKind, lastChangeIn(page));
+            notifier_->gossip(protocol_.evacuatedZonesKind, lastChangeIn(page));
         onZones();
     });
     store_.watch(
@@ -301,7 +298,7 @@
         [this] { return serverMonitor_->isReady() && !isStopping_; }, &zones_,
         [this](TimePoint now) { return gate_->busyness(now); }, &peerLoads_, [this] { onDirectoryChange(); },
         [this](const std::string& instance, const StoreObject& object) {
-            notifyOfChange(instance, fleetKind, object.revision, { object });
+            notifier_->tell(instance, fleetKind, object.revision, { object });
         } });
     keys_->start();
 }
@@ -312,69 +309,6 @@
     onDirectoryChange();
 }
 
-// Notifies an instance that objects of the kind have changed in a way that concerns it. If they are named, it
-// need not read them from the store.
-void Sidecar::notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision,
-    const std::vector<StoreObject>& objects)
-{
-    const stored::InstanceEntry* entry = directory_.instance(instance);
-    if (!entry || instance == settings_.name)
-        return;
-    peer::PeerMessage message;
-    message.storeChange = peer::StoreChange { kind, revision };
-    if (const LinkId link = network_->linkTo(entry->peerAddress))
-        network_->send(link, { message, objects.empty() ? std::string() : writeFeedBody(objects) });
-}
-
-// Sends the message to the other instances next to servers of this instance's service.
-void Sidecar::broadcastToService(const peer::PeerMessage& message)
-{
-    for (const auto& [name, entry] : directory_.instances()) {
-        if (entry.value.service != settings_.service || name == settings_.name)
-            continue;
-        if (const LinkId link = network_->linkTo(entry.value.peerAddress))
-            network_->send(link, { message, {} });
-    }
-}
-
-// Each instance that learns of a change made by the operator notifies some random other instances, so that an
-// instance whose own watch has stopped delivering changes learns of it as well.
-void Sidecar::gossipChange(const std::string& kind, int64_t revision)
-{
-    std::vector<std::string> others;
-    for (const auto& [name, entry] : directory_.instances()) {
-        if (name != settings_.name && !entry.value.departing)
-            others.push_back(name);
-    }
-    for (int sent = 0; sent < changeFanout && !others.empty(); ++sent) {
-        std::swap(others[random_() % others.size()], others.back());
-        notifyOfChange(others.back(), kind, revision);
-        others.pop_back();
-    }
-}
-
-// The server next to this instance has started or is leaving. Notifies the instances that plan the key table,
-// which have to react.
-void Sidecar::notifyPlanners()
-{
-    const auto own = directory_.instances().find(settings_.name);
-    if (!keys_ || own == directory_.instances().end())
-        return;
-    StoreObject object;
-    object.kind = fleetKind;
-    object.name = instanceObjectName(settings_.name);
-    object.revision = own->second.revision;
-    object.value = own->second.value;
-    int notified = 0;
-    for (const auto& [name, entry] : directory_.instances()) {
-        if (entry.value.service != settings_.service || name == settings_.name)
-            continue;
-        notifyOfChange(name, fleetKind, own->second.revision, { object });
-        if (++notified == notifiedPlanners)
-            return;
-    }
-}
-
 void Sidecar::onDirectoryChange()
 {
     const auto instances = static_cast<int64_t>(directory_.instances().size());
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -4,6 +4,7 @@
 #include "http/httpserver.h"
 #include "sidecar/changefeedfollower.h"
 #include "sidecar/changefeedserver.h"
+#include "sidecar/changenotifier.h"
 #include "sidecar/configurationtracker.h"
 #include "sidecar/departurenotifier.h"
 #include "sidecar/entrypublisher.h"
@@ -72,12 +73,7 @@
     void onConfiguration();
     void onZones();
     void onDirectoryChange();
-    void notifyPlanners();
-    void notifyOfChange(const std::string& instance, const std::string& kind, int64_t revision,
-        const std::vector<StoreObject>& objects = {});
     void onStoreChange(const peer::StoreChange& change, const std::string& body);
-    void gossipChange(const std::string& kind, int64_t revision);
-    void broadcastToService(const peer::PeerMessage& message);
     void applyCrashCounts(const StorePage& page);
     void onFrame(LinkId link, Frame frame);
     void onDeparture(LinkId link, const peer::Departure& departure);
@@ -97,6 +93,7 @@
     StoreTransport transport_;
     StoreSession store_;
     std::unique_ptr<PeerNetwork> network_; // Started once the fleet's secret is known.
+    std::unique_ptr<ChangeNotifier> notifier_;
     std::unique_ptr<StoreRelay> relay_;
     std::unique_ptr<ChangeFeedServer> feedServer_;
     std::unique_ptr<ChangeFeedFollower> feedFollower_;
