Review: show a server that left in use again after a loss of power

Cause: DELETE of a server is acknowledged before the store has it, so the machine does not know of it after a restart and believes a late report.

--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -34,7 +34,8 @@
 
     std::string lower(std::string text)
     {
-        std::transform(text.begin(), text.end(), text.begin(), [](unsigned char each) { return std::tolower(each); });
+        std::transform(
+            text.begin(), text.end(), text.begin(), [](unsigned char each) { return std::tolower(each); });
         return text;
     }
 
@@ -248,7 +249,8 @@
         if (message.start.empty())
             message.start = line;
         else if (colon != std::string::npos)
-            message.headers.emplace_back(line.substr(0, colon), line.substr(line.find_first_not_of(" \t", colon + 1)));
+            message.headers.emplace_back(
+                line.substr(0, colon), line.substr(line.find_first_not_of(" \t", colon + 1)));
     }
     const size_t length = static_cast<size_t>(std::atoll(("0" + message.header("Content-Length")).c_str()));
     while (buffer_.size() < length) {
@@ -342,8 +344,9 @@
         if (mapped != peerAddresses_.end())
             spec["peerAddress"] = mapped->second;
     }
-    return { { "metadata", { { "name", key.second }, { "revision", object.revision }, { "created", 1 },
-                               { "finalizers", json::array() }, { "deleting", false } } },
+    return { { "metadata",
+                 { { "name", key.second }, { "revision", object.revision }, { "created", 1 },
+                     { "finalizers", json::array() }, { "deleting", false } } },
         { "spec", std::move(spec) }, { "status", nullptr } };
 }
 
@@ -407,6 +410,10 @@
 {
     while (const auto request = connection.read(now() + 600)) {
         sleepFor(0.004);
+        // A call whose caller is gone by then is not carried out.
+        pollfd state { connection.socket(), POLLRDHUP, 0 };
+        if (::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+            return;
         const auto [status, body] = handle(*request);
         if (!connection.send(responseText(status, { { "Content-Type", "application/json" } }, body.dump())))
             return;
@@ -436,22 +443,59 @@
     return runs_;
 }
 
+bool Upstream::sendReport(int64_t sequence)
+{
+    const json body { { "service", service_ }, { "address", "127.0.0.1:" + std::to_string(port_) },
+        { "zone", zone_ }, { "version", "v1" }, { "slots", slots_ }, { "state", "ready" },
+        { "warmupLeft", "0ms" }, { "sequence", sequence }, { "born", startedMs_ } };
+    const auto connection = connectTo(reportPort_);
+    if (!connection)
+        return false;
+    connection->send(requestText("PUT", "/instances/" + id_,
+        { { "Host", "control" }, { "Content-Type", "application/json" } }, body.dump()));
+    const auto answer = connection->read(now() + 1);
+    return answer && answer->status() == 200;
+}
+
+bool Upstream::leave()
+{
+    const auto connection = connectTo(reportPort_);
+    if (!connection)
+        return false;
+    connection->send(requestText("DELETE", "/instances/" + id_, { { "Host", "control" } }, {}));
+    const auto answer = connection->read(now() + 1);
+    return answer && answer->status() == 200;
+}
+
+void Upstream::end()
+{
+    hasEnded_ = true;
+    listener_->stop();
+    std::lock_guard lock(mutex_);
+    for (const int socket : sockets_)
+        ::shutdown(socket, SHUT_RDWR);
+}
+
 void Upstream::report()
 {
-    for (int sequence = 1;; ++sequence) {
-        const json body { { "service", service_ }, { "address", "127.0.0.1:" + std::to_string(port_) },
-            { "zone", zone_ }, { "version", "v1" }, { "slots", slots_ }, { "state", "ready" },
-            { "warmupLeft", "0ms" }, { "sequence", sequence }, { "born", startedMs_ } };
-        if (const auto connection = connectTo(reportPort_)) {
-            connection->send(requestText("PUT", "/instances/" + id_,
-                { { "Host", "control" }, { "Content-Type", "application/json" } }, body.dump()));
-            connection->read(now() + 1);
-        }
+    while (isReporting_) {
+        sendReport(++sequence_);
         sleepFor(0.87);
     }
 }
 
 void Upstream::serve(Connection& connection)
+{
+    {
+        std::lock_guard lock(mutex_);
+        sockets_.insert(connection.socket());
+    }
+    answer(connection);
+    std::lock_guard lock(mutex_);
+    sockets_.erase(connection.socket());
+}
+
+void Upstream::answer(Connection& connection)
 {
     while (const auto request = connection.read(now() + 600)) {
         const std::string load = std::to_string(running_) + ",0," + std::to_string(slots_);
@@ -481,6 +525,8 @@
         }
         sleepFor(workSeconds_);
         --running_;
+        if (hasEnded_)
+            return;
         headers.emplace_back("Persimmonfield-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1");
         if (!connection.send(responseText(200, headers, "done by " + id_)))
             return;
@@ -493,7 +539,8 @@
         const auto target = connectTo(targetPort);
         if (!target)
             return;
-        std::thread back([this, &caller, &target] { pump(target->socket(), caller.socket(), directions_[1]); });
+        std::thread back(
+            [this, &caller, &target] { pump(target->socket(), caller.socket(), directions_[1]); });
         pump(caller.socket(), target->socket(), directions_[0]);
         back.join();
     });
@@ -530,6 +577,50 @@
     ::shutdown(to, SHUT_RDWR);
 }
 
+DelayProxy::DelayProxy(int port, int targetPort, double delaySeconds)
+    : delaySeconds_(delaySeconds)
+{
+    listener_ = std::make_unique<Listener>(port, [this, targetPort](Connection& caller) {
+        const auto target = connectTo(targetPort);
+        if (!target)
+            return;
+        {
+            std::lock_guard lock(mutex_);
+            sockets_.insert({ caller.socket(), target->socket() });
+        }
+        std::thread back([this, &caller, &target] { pump(target->socket(), caller.socket()); });
+        pump(caller.socket(), target->socket());
+        back.join();
+        std::lock_guard lock(mutex_);
+        sockets_.erase(caller.socket());
+        sockets_.erase(target->socket());
+    });
+}
+
+void DelayProxy::cut()
+{
+    ++cuts_;
+    std::lock_guard lock(mutex_);
+    for (const int socket : sockets_)
+        ::shutdown(socket, SHUT_RDWR);
+}
+
+void DelayProxy::pump(int from, int to)
+{
+    char chunk[65'536];
+    while (true) {
+        const ssize_t size = ::recv(from, chunk, sizeof chunk, 0);
+        if (size <= 0)
+            break;
+        const int cuts = cuts_;
+        sleepFor(delaySeconds_);
+        if (cuts != cuts_ || ::send(to, chunk, static_cast<size_t>(size), MSG_NOSIGNAL) != size)
+            break;
+    }
+    ::shutdown(from, SHUT_RDWR);
+    ::shutdown(to, SHUT_RDWR);
+}
+
 Machine::Machine(std::string name, std::string zone, std::string service, int storePort, int memoryMb)
     : name_(std::move(name))
     , zone_(std::move(zone))
@@ -547,9 +638,10 @@
     std::ostringstream text;
     text << "[instance]\nname = " << name_ << "\nzone = " << zone_ << "\nservice = " << service_
          << "\ncaller-address = " << address(outboundPort()) << "\nreport-address = " << address(reportPort())
-         << "\nreadiness-address = " << address(readyPort()) << "\nhost = 127.0.0.1\ninternal-ports = "
-         << peerPort() << "," << peerPort() + 1 << "\nserver-address = " << address(serverPort())
-         << "\nstore-address = " << address(storePort_) << "\nreport-interval = 870ms\n\n[machine]\ncores = 0.2\n"
+         << "\nreadiness-address = " << address(readyPort())
+         << "\nhost = 127.0.0.1\ninternal-ports = " << peerPort() << "," << peerPort() + 1
+         << "\nserver-address = " << address(serverPort()) << "\nstore-address = " << address(storePort_)
+         << "\nreport-interval = 870ms\n\n[machine]\ncores = 0.2\n"
          << "memory = " << memoryMb_ << "\ndescriptors = 4100\n\n[bounds]\nseedLag = 3s\naddrReuse = 2s\n"
          << "contact = 3000ms\nack = 4000ms\ncatchUp = 4s\ndrain = 2000ms\ngrace = 6s\nlossSlack = 200ms\n"
          << "configApply = 2000ms\nrollbackSlack = 250ms\nmaxSkew = 5000ms\nstrictRevocation = false\n"
@@ -617,7 +709,8 @@
 {
     const double end = now() + seconds;
     while (now() < end) {
-        if (std::all_of(machines.begin(), machines.end(), [](const Machine* each) { return each->isReady(); }))
+        if (std::all_of(
+                machines.begin(), machines.end(), [](const Machine* each) { return each->isReady(); }))
             return true;
         sleepFor(0.1);
     }
@@ -641,10 +734,12 @@
             { "protocol", "h1" }, { "tls", false }, { "warmup", "3s" }, { "warmupPerS", 23.0 } });
     }
     return { { "version", "r7" },
-        { "limits", { { "maxHeaderBytes", 16'384 }, { "maxBodyBytes", 67'108'864 },
-                        { "headerTimeout", "3000ms" }, { "idleTimeout", "15000ms" } } },
-        { "tenants", json::array({ { { "name", "pulo780" }, { "apiKeys", json::array({ callerKey }) },
-                         { "priority", 1 }, { "ratePerS", 0 }, { "burst", 0 } } }) },
+        { "limits",
+            { { "maxHeaderBytes", 16'384 }, { "maxBodyBytes", 67'108'864 }, { "headerTimeout", "3000ms" },
+                { "idleTimeout", "15000ms" } } },
+        { "tenants",
+            json::array({ { { "name", "pulo780" }, { "apiKeys", json::array({ callerKey }) },
+                { "priority", 1 }, { "ratePerS", 0 }, { "burst", 0 } } }) },
         { "listeners", json::array({ { { "host", host }, { "routingRules", rules } } }) },
         { "clusters", clusters } };
 }
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -134,8 +134,19 @@
 
     std::vector<Run> runs();
 
+    // Reports no more by itself.
+    void stopReports() { isReporting_ = false; }
+    // Sends a status report with this sequence number; whether it was acknowledged.
+    bool sendReport(int64_t sequence);
+    int64_t lastSequence() const { return sequence_; }
+    // Sends DELETE; whether it was acknowledged.
+    bool leave();
+    // Ends: listens no more and cuts all connections.
+    void end();
+
 private:
     void serve(Connection& connection);
+    void answer(Connection& connection);
     void report();
 
     std::string id_;
@@ -147,7 +158,11 @@
     int slots_;
     int64_t startedMs_;
     std::atomic<int> running_ { 0 };
+    std::atomic<bool> isReporting_ { true };
+    std::atomic<int64_t> sequence_ { 0 };
+    std::atomic<bool> hasEnded_ { false };
     std::mutex mutex_;
+    std::set<int> sockets_;
     std::vector<Run> runs_;
     std::unique_ptr<Listener> listener_;
 };
@@ -170,6 +185,24 @@
     std::unique_ptr<Listener> listener_;
 };
 
+// Forwards connections and holds the bytes back for a while in both directions, as a link does.
+class DelayProxy {
+public:
+    DelayProxy(int port, int targetPort, double delaySeconds);
+
+    // Drops all connections with the bytes that are under way, as when the machine loses power.
+    void cut();
+
+private:
+    void pump(int from, int to);
+
+    double delaySeconds_;
+    std::atomic<int> cuts_ { 0 };
+    std::mutex mutex_;
+    std::set<int> sockets_;
+    std::unique_ptr<Listener> listener_;
+};
+
 // A machine with one process of the project's program, which the deploy file names.
 class Machine {
 public:
--- a/review/standins-2/smuggling.cpp
+++ b/review/standins-2/smuggling.cpp
@@ -38,8 +38,8 @@
     std::vector<Machine*> all;
     for (int i = 0; i < 3; ++i) {
         const std::string zone = std::string("zone-") + static_cast<char>('a' + i % 3);
-        machines.push_back(std::make_unique<Machine>("auxiliary-" + std::to_string(i + 1), zone,
-            i < 1 ? "gallery" : "fulfilment", storePort, 260));
+        machines.push_back(std::make_unique<Machine>(
+            "auxiliary-" + std::to_string(i + 1), zone, i < 1 ? "gallery" : "fulfilment", storePort, 260));
         Machine& machine = *machines.back();
         machine.start();
         upstreams.push_back(std::make_unique<Upstream>("i-" + std::to_string(i + 1), machine.service(), zone,
@@ -74,8 +74,8 @@
             }
         }
     }
-    record("orders that ran: " + std::to_string(ran) + "; orders that nobody sent and that ran: "
-        + std::to_string(smuggled));
+    record("orders that ran: " + std::to_string(ran)
+        + "; orders that nobody sent and that ran: " + std::to_string(smuggled));
     if (!hasTrouble() && ran != 3)
         finish(2);
     finish(smuggled > 0 ? 1 : 0);
