--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -686,6 +686,11 @@
     pid_ = 0;
 }
 
+void Machine::terminate()
+{
+    ::kill(pid_, SIGTERM);
+}
+
 int64_t Machine::memory() const
 {
     std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -210,6 +210,7 @@
 
     void start();
     void kill();
+    void terminate(); // SIGTERM.
     bool isRunning() const { return pid_ > 0; }
     // Resident memory in bytes; 0 if the process has ended.
     int64_t memory() const;
