HTTP client: an answer without a length is lost if its connection is reset during the upload

Callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The part came as a complete answer.

Cause: the kernel reports the failure of a connection once, to whichever call meets it first, and end of file to the calls after it. While a request is being written, the event loop completes the write before the read, so the write got "connection reset" and its error was dropped; the read then got an end of file, which ends a body without a length.

Change: the connection keeps the error that the write has met, and an end of file after it ends the call as Lost.

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -92,6 +92,7 @@
     done_ = std::move(done);
     hasSent_ = false;
     isRequestWritten_ = false;
+    connectionError_.clear();
     armDeadlineTimer(timeout);
     if (isConnected_)
         write();
@@ -143,10 +144,12 @@
     const Body body = request_.body;
     const std::array<asio::const_buffer, 2> bytes { asio::buffer(*head), asio::buffer(body.text()) };
     asio::async_write(socket_, bytes, [self = shared_from_this(), head, body](std::error_code error, size_t) {
-        // A write error is ignored: a server may answer and close before it has read the whole request,
-        // so the outcome depends only on what is read.
+        // A write error does not end the call: a server may answer and close before it has read the whole
+        // request.
         if (!error)
             self->isRequestWritten_ = true;
+        else if (error != asio::error::broken_pipe)
+            self->connectionError_ = error;
     });
     read();
 }
@@ -246,9 +249,12 @@
     return problem.empty();
 }
 
-// An answer without a length is complete if the connection is closed in order (eof), but not if it fails.
+// An answer without a length is complete if the connection is closed in order (eof), but not if it fails. The
+// kernel reports a failure only once: if the write got it, the read gets eof.
 void HttpClientConnection::onReadError(std::error_code error)
 {
+    if (error == asio::error::eof && connectionError_)
+        error = connectionError_;
     if (error == asio::error::eof && parser_->is_header_done()) {
         boost::beast::error_code failure;
         parser_->put_eof(failure);
--- a/src/http/httpclientconnection.h
+++ b/src/http/httpclientconnection.h
@@ -81,6 +81,9 @@
     bool isReading_ = false;
     bool hasSent_ = false;
     bool isRequestWritten_ = false;
+    // The error that ended the connection, if writing the request has met it. Not set if the server closed
+    // its side first (broken_pipe).
+    std::error_code connectionError_;
     bool isHeadChecked_ = false; // Of the current answer.
     int skippedAnswers_ = 0; // Interim answers and answers to other requests since the request was sent.
     bool shouldCloseAfterCall_ = false; // Must not be reused, for example after an answer to another request.
--- a/tests/sidecar/serveranswers.cpp
+++ b/tests/sidecar/serveranswers.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds testTimeout { 20'000 };
 constexpr int firstPort = 18'860;
 constexpr int portsPerInstance = 10;
+// More than the buffers of the sockets between a gate and its server take.
+constexpr size_t longBodyBytes = 8UL * 1'024 * 1'024;
 const Address storeAddress { "127.0.0.1", 18'899 };
 
 nlohmann::json configuration()
@@ -36,7 +38,8 @@
     addRule("views", "idempotent", "orders");
     addRule("downloads", "download", "orders");
     addRule("cards", "non_idempotent", "gallery");
-    return { { "version", "r1" }, { "listeners", { { { "host", "h" }, { "routingRules", rules } } } },
+    return { { "version", "r1" }, { "limits", { { "maxBodyBytes", 2 * longBodyBytes } } },
+        { "listeners", { { { "host", "h" }, { "routingRules", rules } } } },
         { "clusters",
             { { { "name", "gallery" }, { "sharded", true } }, { { "name", "orders" } },
                 { { "name", "none" } } } } };
@@ -192,6 +195,34 @@
     }
 }
 
+// The server answers a long upload while it is still being sent, without a length, and resets the connection.
+TEST(ServerAnswers, AnswerWithoutLengthWhoseConnectionIsResetDuringTheUploadIsNeverASuccess)
+{
+    bool isReset = false;
+    add("none", [](ScriptedConnection&, const std::string&) {});
+    add("orders", [&isReset](ScriptedConnection& connection, const std::string& request) {
+        connection.send("HTTP/1.1 200 OK\r\nPersimmonfield-Request-Id: " + idOf(request)
+            + "\r\nPersimmonfield-Response-Signature: signed\r\n\r\n" + (isReset ? "part" : "whole"));
+        if (!isReset)
+            connection.shutdownSend();
+        connection.resetOnceAcknowledged();
+    });
+    instances[1]->server.leaveBodiesUnread();
+    awaitAnswers(0, "/views/1");
+    HttpRequest upload = requestFor("POST", "/orders/1");
+    upload.body = std::string(longBodyBytes, 'x');
+    for (const size_t instance : { 0, 1 }) {
+        isReset = true;
+        upload.headers[1].value = "reset" + std::to_string(instance);
+        LONGS_EQUAL(502, call(instance, upload).response.status);
+        isReset = false;
+        upload.headers[1].value = "closed" + std::to_string(instance);
+        const CallResult whole = call(instance, upload);
+        LONGS_EQUAL(200, whole.response.status);
+        STRCMP_EQUAL("whole", whole.response.body.c_str());
+    }
+}
+
 TEST(ServerAnswers, IdempotentRequestIsRetriedAtAnotherServerAfterATruncatedHead)
 {
     size_t cuts = 0;
