Tests: a status that is none reaches no caller, through both instances

Operators of similar systems saw: an answer with status 000 came to the client as an answer. Here such an answer is lost since "HTTP client: what is no final answer of HTTP is lost", and nothing but tests changes: AnswerHeads (tests/http) and ServerAnswerHeads (tests/gate) also send such a status after an interim answer, and a new test of ServerAnswers (tests/sidecar) sends 000, 099, 600 and 999 to the instance next to the server and through a link.

--- a/tests/sidecar/serveranswers.cpp
+++ b/tests/sidecar/serveranswers.cpp
@@ -101,6 +101,8 @@
     std::unique_ptr<StandInStore> store;
     std::vector<std::unique_ptr<Instance>> instances;
     int64_t requests = 0;
+    std::string statusLine; // Of the answers, if not empty.
+    std::string field; // With its line break; empty for none.
 
     void setup() override
     {
@@ -151,6 +153,20 @@
         CHECK(runUntil([&] { return call(index, requestFor("GET", target)).response.status == 200; }));
     }
 
+    // Adds an instance that forwards orders over a link, and one next to a server whose answers have the
+    // test's status line and its additional field.
+    void addOrdersWithHeads()
+    {
+        add("none", [](ScriptedConnection&, const std::string&) {});
+        add("orders", [this](ScriptedConnection& connection, const std::string& request) {
+            std::string answer = answerTo(request);
+            if (!statusLine.empty())
+                answer.replace(0, answer.find("\r\n") + 2, statusLine);
+            connection.send(answer.insert(answer.find("Content-Length"), field));
+        });
+        awaitAnswers(0, "/views/1");
+    }
+
     static std::string refusalWith(const std::string& field)
     {
         return "HTTP/1.1 503 Service Unavailable\r\n" + field
@@ -223,6 +239,19 @@
     }
 }
 
+TEST(ServerAnswers, AnswerWithAStatusThatIsNoneIsNeverPassedOn)
+{
+    addOrdersWithHeads();
+    for (const size_t instance : { 0, 1 }) {
+        for (const char* status : { "000", "099", "600", "999" }) {
+            statusLine = "HTTP/1.1 " + std::string(status) + " Trouble\r\n";
+            LONGS_EQUAL(502, call(instance, requestFor("POST", "/orders/1")).response.status);
+        }
+        statusLine.clear();
+        LONGS_EQUAL(200, call(instance, requestFor("POST", "/orders/1")).response.status);
+    }
+}
+
 TEST(ServerAnswers, IdempotentRequestIsRetriedAtAnotherServerAfterATruncatedHead)
 {
     size_t cuts = 0;
--- a/tests/standins/answerheads.h
+++ b/tests/standins/answerheads.h
@@ -30,6 +30,9 @@
             "HTTP/1.1 " + std::string(status) + " OK" + (hasBody ? rest : "\r\n\r\n"), std::stoi(status) });
     }
     heads.push_back({ "interim 100", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Made" + rest, 201 });
+    for (const char* status : { "000", "099", "600" })
+        heads.push_back({ "interim 100 and status " + std::string(status),
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + std::string(status) + " OK" + rest + next, 0 });
     heads.push_back({ "interim 199", "HTTP/1.1 199 Wait\r\n\r\nHTTP/1.1 201 Made" + rest, 201 });
     for (const char* length : { "+4", "-4", "4x", "0x4", "4.0", "4 4", "", "99999999999999999999" })
         heads.push_back({ "length " + std::string(length),
