HTTP client: an answer with a field whose name begins with a blank is lost

Operators of similar systems saw: an answer in whose head the name of a field held a blank or a control byte came to the client, with that line passed on or with a body that was not the server's.

What was handled already: a blank, a control byte or another byte that no name may hold, inside a name or at its end, and a blank before the first field. The parser refuses these, also in interim answers, in trailers and with HTTP/1.0.

Cause of the rest: the parser takes a line that begins with a blank as the continuation of the line before (obs-fold). "Id: 1", " Content-Length: 4" became an answer with the field "Id: 1 Content-Length: 4" and without a length, so that its body was whatever came until the connection ended. RFC 9112, 5.2, lets a proxy refuse such answers.

Change: such a line in a head or in trailers ends the call as Lost. The parser now stops after each part of an answer, so that the bytes of these lines are known apart from the body's.

Answers whose names are valid, those with all bytes that names may hold, empty values and values with blanks and colons among them, are delivered.

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -49,6 +49,13 @@
         return isKnown ? std::string() : "its transfer coding is not known";
     }
 
+    // Whether a line of a head or of trailers begins with a blank. The parser appends it to the line before
+    // (obs-fold, RFC 9112, 5.2), although it may be a field whose name is not valid, such as a length.
+    bool hasFoldedLine(std::string_view fields)
+    {
+        return fields.find("\n ") != std::string_view::npos || fields.find("\n\t") != std::string_view::npos;
+    }
+
     HttpResponse toHttpResponse(http::response<http::string_body> message)
     {
         HttpResponse response;
@@ -159,7 +166,7 @@
     countBody(0);
     isHeadChecked_ = false;
     parser_.emplace();
-    // Stops after the head, which is checked before any of the body is read.
+    // Stops after each part of the answer: the head, a piece of the body, the last chunk with the trailers.
     parser_->eager(false);
     parser_->body_limit(client_->options_.maxBodyBytes);
     parser_->skip(request_.method == "HEAD");
@@ -216,10 +223,16 @@
 {
     while (client_ && !isIdle() && !buffer_.empty()) {
         boost::beast::error_code error;
+        const bool isInHead = !parser_->is_header_done();
         const size_t used = parser_->put(boost::asio::buffer(buffer_), error);
+        const bool isInFields = isInHead || (parser_->is_done() && parser_->chunked());
+        const bool isFolded = isInFields && hasFoldedLine({ buffer_.data(), used });
         buffer_.erase(0, used);
         if (error && error != http::error::need_more)
             return finish(CallOutcome::Lost, "what came is no answer: " + error.message());
+        if (isFolded)
+            return finish(
+                CallOutcome::Lost, "what came is no answer: the name of a field begins with a blank");
         if (parser_->is_header_done() && !isHeadValid())
             return;
         if (parser_->is_done())
@@ -242,7 +255,6 @@
 {
     if (std::exchange(isHeadChecked_, true))
         return true;
-    parser_->eager(true);
     const std::string problem = problemOf(parser_->get());
     if (!problem.empty())
         finish(CallOutcome::Lost, "what came is no answer: " + problem);
--- a/tests/http/answerheads.cpp
+++ b/tests/http/answerheads.cpp
@@ -1,4 +1,4 @@
-// Answers whose status, length, coding or version is none of HTTP/1.x.
+// Answers whose status, length, coding, version or field names are none of HTTP/1.x.
 
 #include "standins/answerheads.h"
 #include "http/httpclient.h"
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -32,9 +33,20 @@
     asio::io_context loop { 1 };
     std::string bytes;
     ScriptedServer server { loop, address, [this](ScriptedConnection& connection, const std::string&) {
-                               connection.send(bytes);
+                               isSentByteByByte ? sendByteByByte(connection) : connection.send(bytes);
                                connection.shutdownSend();
                            } };
+    bool isSentByteByByte = false;
+    std::optional<CallResult> result;
+
+    // Lets the client read each byte before the next one is sent.
+    void sendByteByByte(ScriptedConnection & connection)
+    {
+        for (size_t i = 0; i < bytes.size() && !result; ++i) {
+            connection.send(bytes.substr(i, 1));
+            loop.poll();
+        }
+    }
 
     CallResult callWith(const std::string& answer)
     {
@@ -42,40 +54,61 @@
         HttpClientOptions options;
         options.address = address;
         HttpClient client(loop, options);
-        std::optional<CallResult> result;
+        result.reset();
         client.call(
-            { "GET", "/", {}, {} }, callTimeout, [&result](CallResult ended) { result = std::move(ended); });
+            { "GET", "/", {}, {} }, callTimeout, [this](CallResult ended) { result = std::move(ended); });
         while (!result) {
             loop.restart();
             loop.run_one();
         }
         return *result;
     }
+
+    // What the calls got whose result is not the expected one, a line each.
+    std::string wrongResults(const std::vector<AnswerHead>& heads)
+    {
+        std::string wrong;
+        for (const AnswerHead& head : heads) {
+            const CallResult ended = callWith(head.bytes);
+            if (std::getenv("SHOW_ANSWER_HEADS"))
+                std::cout << head.name << ": " << textOf(ended) << '\n';
+            const bool isLost = ended.outcome == CallOutcome::Lost;
+            const bool isAnswered
+                = ended.outcome == CallOutcome::Answered && ended.response.status == head.status;
+            if (head.status == 0 ? !isLost : !isAnswered)
+                wrong += head.name + " -> " + textOf(ended) + "\n";
+        }
+        return wrong;
+    }
 };
 
 TEST(AnswerHeads, WhatIsNoFinalAnswerIsLost)
 {
-    std::string wrong;
-    for (const AnswerHead& head : answerHeads()) {
-        const CallResult result = callWith(head.bytes);
-        if (std::getenv("SHOW_ANSWER_HEADS"))
-            std::cout << head.name << ": " << textOf(result) << '\n';
-        const bool isLost = result.outcome == CallOutcome::Lost;
-        const bool isAnswered
-            = result.outcome == CallOutcome::Answered && result.response.status == head.status;
-        if (head.status == 0 ? !isLost : !isAnswered)
-            wrong += head.name + " -> " + textOf(result) + "\n";
-    }
-    STRCMP_EQUAL("", wrong.c_str());
+    STRCMP_EQUAL("", wrongResults(answerHeads()).c_str());
+}
+
+TEST(AnswerHeads, AnswerWithAFieldNameThatIsNoneIsLost)
+{
+    STRCMP_EQUAL("", wrongResults(answerFieldNames()).c_str());
+}
+
+// Whether a field is valid must not depend on how the answer is divided into packets.
+TEST(AnswerHeads, AnswerWithAFieldNameThatIsNoneIsLostIfItComesByteByByte)
+{
+    isSentByteByByte = true;
+    STRCMP_EQUAL("", wrongResults(answerFieldNames()).c_str());
 }
 
 TEST(AnswerHeads, TheNextCallGetsItsOwnAnswer)
 {
-    for (const AnswerHead& head : answerHeads()) {
+    std::vector<AnswerHead> heads = answerHeads();
+    for (const AnswerHead& head : answerFieldNames())
+        heads.push_back(head);
+    for (const AnswerHead& head : heads) {
         callWith(head.bytes);
-        const CallResult result = callWith("HTTP/1.1 201 Made\r\nContent-Length: 4\r\n\r\nnext");
-        CHECK_TEXT(result.outcome == CallOutcome::Answered, head.name.c_str());
-        LONGS_EQUAL(201, result.response.status);
-        STRCMP_EQUAL("next", result.response.body.c_str());
+        const CallResult ended = callWith("HTTP/1.1 201 Made\r\nContent-Length: 4\r\n\r\nnext");
+        CHECK_TEXT(ended.outcome == CallOutcome::Answered, head.name.c_str());
+        LONGS_EQUAL(201, ended.response.status);
+        STRCMP_EQUAL("next", ended.response.body.c_str());
     }
 }
--- a/tests/sidecar/serveranswers.cpp
+++ b/tests/sidecar/serveranswers.cpp
@@ -3,6 +3,7 @@
 
 #include "platformprotocol.h"
 #include "sidecar/sidecar.h"
+#include "standins/answerheads.h"
 #include "standins/loopback.h"
 #include "standins/scriptedserver.h"
 
@@ -252,6 +253,20 @@
     }
 }
 
+TEST(ServerAnswers, AnswerWithAFieldNameThatIsNoneIsNeverPassedOn)
+{
+    addOrdersWithHeads();
+    for (const size_t instance : { 0, 1 }) {
+        for (const std::string& name : invalidFieldNames()) {
+            field = name + ": 4\r\n";
+            const int status = call(instance, requestFor("POST", "/orders/1")).response.status;
+            LONGS_EQUAL_TEXT(502, status, printable(name).c_str());
+        }
+        field.clear();
+        LONGS_EQUAL(200, call(instance, requestFor("POST", "/orders/1")).response.status);
+    }
+}
+
 TEST(ServerAnswers, IdempotentRequestIsRetriedAtAnotherServerAfterATruncatedHead)
 {
     size_t cuts = 0;
--- a/tests/standins/answerheads.h
+++ b/tests/standins/answerheads.h
@@ -65,4 +65,70 @@
     return heads;
 }
 
+// The text with control bytes and bytes beyond ASCII in hexadecimal.
+inline std::string printable(const std::string& text)
+{
+    std::string result;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte >= 0x20 && byte < 0x7f) {
+            result += c;
+            continue;
+        }
+        constexpr const char* digits = "0123456789abcdef";
+        result += std::string("\\x") + digits[byte >> 4U] + digits[byte & 0xfU];
+    }
+    return result;
+}
+
+// Names of fields that hold a blank, a control byte or another byte that no name may hold.
+inline std::vector<std::string> invalidFieldNames()
+{
+    std::vector<std::string> names { "", "Content-Length ", "Content-Length\t", " Content-Length",
+        "\tContent-Length", "Content Length", "Content\tLength", "X Note", " ", "\t", "Transfer-Encoding ",
+        " Transfer-Encoding", "X\rNote", "X\nNote", "Content-Length\r", "\nContent-Length", "X\xc2\xa0Note",
+        "X\xff", "X(Note)", "X\"Note\"", "X/Note", "X@Note", "X[Note]", "X{Note}", "X;Note", "X,Note",
+        "X=Note", "X?Note", "X<Note>", "X\\Note" };
+    for (char byte = 0; byte < 0x20; ++byte)
+        names.push_back(std::string("X") + byte + "Note");
+    names.push_back("X\x7fNote");
+    return names;
+}
+
+// Heads in which the name of a field holds what no name may hold, and some in which all names are valid.
+inline std::vector<AnswerHead> answerFieldNames()
+{
+    std::vector<AnswerHead> heads;
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string length = "Content-Length: 4\r\n";
+    const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+    for (const std::string& name : invalidFieldNames()) {
+        const std::string field = name + ": 4\r\n";
+        const std::string shown = " field " + printable(name);
+        heads.push_back({ "first" + shown, start + field + length + "\r\nbody" + next, 0 });
+        heads.push_back({ "middle" + shown, start + "Id: 1\r\n" + field + length + "\r\nbody" + next, 0 });
+        heads.push_back({ "last" + shown, start + length + field + "\r\nbody" + next, 0 });
+        heads.push_back({ "last without length" + shown, start + "Id: 1\r\n" + field + "\r\nbody", 0 });
+        heads.push_back({ "HTTP/1.0" + shown, "HTTP/1.0 200 OK\r\nId: 1\r\n" + field + "\r\nbody", 0 });
+        heads.push_back({ "interim" + shown,
+            "HTTP/1.1 100 Continue\r\nId: 1\r\n" + field + "\r\n" + start + length + "\r\nbody", 0 });
+        heads.push_back({ "trailer" + shown,
+            start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nSum: 1\r\n" + field + "\r\n", 0 });
+    }
+    for (const char* value :
+        { "a\nContent-Length: 4", "a\rContent-Length: 4", "a\r\r\nContent-Length: 4", "a\x01" })
+        heads.push_back({ "value " + printable(value), start + "X: " + value + "\r\n\r\nbody", 0 });
+    heads.push_back({ "line without colon", start + length + "Note\r\n\r\nbody" + next, 0 });
+    for (const char* name : { "X", "x-note", "X_1.2", "!#$%&'*+-.^_`|~09azAZ", "Content-Length-Of" }) {
+        const std::string field = std::string(name) + ": 4\r\n";
+        heads.push_back({ "valid " + std::string(name), start + field + length + "\r\nbody", 200 });
+        heads.push_back({ "valid trailer " + std::string(name),
+            start + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + field + "\r\n", 200 });
+    }
+    heads.push_back({ "empty value", start + "X:\r\n" + length + "\r\nbody", 200 });
+    heads.push_back({ "value with blanks", start + "X: \t a \tb  \r\n" + length + "\r\nbody", 200 });
+    heads.push_back({ "value with a colon", start + "X: Y : 4\r\n" + length + "\r\nbody", 200 });
+    return heads;
+}
+
 }
--- a/tests/standins/scriptedserver.h
+++ b/tests/standins/scriptedserver.h
@@ -32,6 +32,8 @@
         , handler_(std::move(handler))
         , readsBodies_(readsBodies)
     {
+        std::error_code ignored;
+        socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     }
 
     void read()
