Messages: an answer of another instance whose status is none is of unknown outcome

Cause: only the instance next to the server looked at the status, and the wider number of the message was cast.

Change: isFinalStatus() says what a final status is, for HttpClient, replyFrom() and StoreRelay. An answer with another status is of unknown outcome, a store's answer is lost. persimmonfieldd reads answers of instances with replyFrom() too.

--- a/src/http/httpclientconnection.cpp
+++ b/src/http/httpclientconnection.cpp
@@ -1,6 +1,7 @@
 #include "http/httpclientconnection.h"
 
 #include "http/tcpkeepalive.h"
+#include "messages/answerhead.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -22,9 +23,8 @@
     // Bodies up to this size do not trigger the check of the total size, which visits all calls.
     constexpr size_t largeBodyBytes = 65'536;
     constexpr int firstInterimStatus = 100;
+    constexpr int lastInterimStatus = 199;
     constexpr int statusSwitchingProtocols = 101;
-    constexpr int firstFinalStatus = 200;
-    constexpr int lastFinalStatus = 599;
     // An idle connection is closed this long before the server would close it.
     constexpr Milliseconds idleTimeoutMargin { 1'000 };
 
@@ -33,7 +33,9 @@
     {
         const int status = static_cast<int>(head.result_int());
         // No request asks to switch protocols.
-        if (status < firstInterimStatus || status > lastFinalStatus || status == statusSwitchingProtocols)
+        const bool isInterim = status >= firstInterimStatus && status <= lastInterimStatus
+            && status != statusSwitchingProtocols;
+        if (!isInterim && !isFinalStatus(status))
             return "the status " + std::to_string(status) + " is none";
         const auto length = head.find(http::field::content_length);
         const bool isList
@@ -284,7 +286,7 @@
     HttpResponse response = toHttpResponse(parser_->release());
     countBody(0);
     const auto& isAnswerTo = client_->options_.isAnswerTo;
-    const bool isInterim = response.status < firstFinalStatus;
+    const bool isInterim = !isFinalStatus(response.status);
     const bool isForOtherRequest = isAnswerTo && !isInterim && !isAnswerTo(request_, response);
     if (isInterim || isForOtherRequest) {
         shouldCloseAfterCall_ = shouldCloseAfterCall_ || isForOtherRequest;
--- a/src/messages/answerhead.cpp
+++ b/src/messages/answerhead.cpp
@@ -6,6 +6,13 @@
 
 namespace persimmonfield {
 
+bool isFinalStatus(int64_t status)
+{
+    constexpr int64_t first = 200;
+    constexpr int64_t last = 599;
+    return status >= first && status <= last;
+}
+
 bool isFieldName(std::string_view name)
 {
     constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
--- a/src/messages/reply.cpp
+++ b/src/messages/reply.cpp
@@ -1,5 +1,7 @@
 #include "messages/reply.h"
 
+#include "messages/answerhead.h"
+
 #include <array>
 #include <utility>
 
@@ -110,6 +112,9 @@
 
 Reply replyFrom(peer::ForwardedAnswer answer, std::string body)
 {
+    if (!isFinalStatus(answer.status))
+        return unknownOutcome(RefusalReason::ServerFailed,
+            "the answer of the other instance has status " + std::to_string(answer.status));
     Reply reply;
     reply.isAnswer = true;
     reply.status = static_cast<int>(answer.status);
--- a/src/messages/reply.h
+++ b/src/messages/reply.h
@@ -71,7 +71,8 @@
 // of the message; its bytes are sent in the same frame and in further ones.
 peer::PeerMessage replyMessage(int64_t id, const Reply& reply);
 
-// Converts a message from another instance into a reply.
+// Converts a message from another instance into a reply. An answer whose head is not valid, as instances of
+// earlier versions pass them on, is of unknown outcome.
 Reply replyFrom(const peer::Refusal& refusal);
 Reply replyFrom(peer::ForwardedAnswer answer, std::string body);
 
--- a/src/sidecar/storerelay.cpp
+++ b/src/sidecar/storerelay.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/storerelay.h"
 
+#include "messages/answerhead.h"
+
 #include <absl/strings/numbers.h>
 
 #include <utility>
@@ -138,13 +140,15 @@
     const auto found = pending_.find(answer.id);
     if (found == pending_.end() || found->second.link != link)
         return;
+    if (!isFinalStatus(answer.status))
+        return complete(
+            answer.id, { CallOutcome::Lost, {}, "the other instance did not get an answer of the store" });
     CallResult result;
-    result.outcome = answer.status == 0 ? CallOutcome::Lost : CallOutcome::Answered;
+    result.outcome = CallOutcome::Answered;
     result.response.status = static_cast<int>(answer.status);
     result.response.body = answer.body;
     if (answer.era)
         result.response.headers.push_back({ eraHeader_, std::to_string(*answer.era) });
-    result.detail = answer.status == 0 ? "the other instance did not reach the store" : "";
     complete(answer.id, std::move(result));
 }
 
--- a/tests/messages/messages.cpp
+++ b/tests/messages/messages.cpp
@@ -101,6 +101,16 @@
     STRCMP_EQUAL("value", reply.headers.front().value.c_str());
 }
 
+TEST(ReplyMessage, AnswerWithAStatusThatIsNoneIsOfUnknownOutcome)
+{
+    for (const int64_t status : { -200L, 0L, 99L, 101L, 199L, 600L, 999L, 4'294'967'496L }) {
+        peer::ForwardedAnswer answer {};
+        answer.status = status;
+        const Reply reply = replyFrom(answer, {});
+        CHECK_TEXT(!reply.isAnswer && !reply.isNotRun(), std::to_string(status).c_str());
+    }
+}
+
 TEST_GROUP(Refusal) {};
 
 TEST(Refusal, EveryReasonHasAUniqueToken)
