Messages: an answer of another instance with a field name that is none is of unknown outcome

Cause: only the instance next to the server looked at the names; encodeResponseHead() writes them as they came.

Change: replyFrom() refuses an answer with such a name as one of unknown outcome, for persimmonfield-platform and persimmonfieldd.

Evidence: a stand-in of another instance sends such answers over a link. Before the change PeerAnswers.AnswerWithAField- NameThatIsNoneIsOfUnknownOutcome (tests/sidecar) and the test of the same name of ReplyMessage (tests/messages) failed; they pass, and an answer with valid names comes through.

--- a/src/messages/reply.cpp
+++ b/src/messages/reply.cpp
@@ -2,6 +2,7 @@
 
 #include "messages/answerhead.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -115,6 +116,11 @@
     if (!isFinalStatus(answer.status))
         return unknownOutcome(RefusalReason::ServerFailed,
             "the answer of the other instance has status " + std::to_string(answer.status));
+    const bool hasValidNames = std::all_of(answer.headers.begin(), answer.headers.end(),
+        [](const peer::HeaderField& field) { return isFieldName(field.name); });
+    if (!hasValidNames)
+        return unknownOutcome(RefusalReason::ServerFailed,
+            "the answer of the other instance has a field whose name is not valid");
     Reply reply;
     reply.isAnswer = true;
     reply.status = static_cast<int>(answer.status);
--- a/tests/messages/messages.cpp
+++ b/tests/messages/messages.cpp
@@ -1,5 +1,6 @@
 #include "messages/frame.h"
 #include "messages/reply.h"
+#include "standins/answerheads.h"
 
 #include <random>
 
@@ -111,6 +112,17 @@
     }
 }
 
+TEST(ReplyMessage, AnswerWithAFieldNameThatIsNoneIsOfUnknownOutcome)
+{
+    for (const std::string& name : invalidFieldNames()) {
+        peer::ForwardedAnswer answer {};
+        answer.status = 200;
+        answer.headers = { { "Id", "1" }, { name, "4" } };
+        const Reply reply = replyFrom(answer, {});
+        CHECK_TEXT(!reply.isAnswer && !reply.isNotRun(), printable(name).c_str());
+    }
+}
+
 TEST_GROUP(Refusal) {};
 
 TEST(Refusal, EveryReasonHasAUniqueToken)
--- a/tests/sidecar/peeranswers.cpp
+++ b/tests/sidecar/peeranswers.cpp
@@ -2,6 +2,7 @@
 
 #include "sidecar/peercalls.h"
 #include "sidecar/storerelay.h"
+#include "standins/answerheads.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -123,6 +124,19 @@
     }
 }
 
+TEST(PeerAnswers, AnswerWithAFieldNameThatIsNoneIsOfUnknownOutcome)
+{
+    for (const std::string& name : invalidFieldNames()) {
+        answer.headers = { { "Id", "1" }, { name, "4" } };
+        const Reply reply = call();
+        CHECK_TEXT(!reply.isAnswer && !reply.isNotRun(), printable(name).c_str());
+    }
+    answer.headers = { { "Id", "1" }, { "x_note.2", "a b" } };
+    const Reply reply = call();
+    CHECK(reply.isAnswer);
+    LONGS_EQUAL(2, reply.headers.size());
+}
+
 TEST(PeerAnswers, StoreAnswerWithAStatusThatIsNoneIsLost)
 {
     for (const int64_t status : invalidStatuses) {
