--- a/tests/crowds/crowdmachine.cpp
+++ b/tests/crowds/crowdmachine.cpp
@@ -12,6 +12,7 @@
 
     constexpr int firstPort = 25'010;
     constexpr int portsPerMachine = 10;
+    constexpr const char* zone = "zone-0";
     constexpr size_t bytesPerKilobyte = 1'024;
 
 }
@@ -44,7 +45,8 @@
     setenv("PERSIMMONFIELD_CONFIG", writeSettings().c_str(), 1);
     process_ = std::make_unique<Process>(std::vector<std::string> { options_.program },
         fmt::format("{}/m{}.log", options_.directory, options_.index));
-    server_ = std::make_unique<CrowdServer>(loop, options_.service, address(5), address(1), options_.slots);
+    server_
+        = std::make_unique<CrowdServer>(loop, options_.service, zone, address(5), address(1), options_.slots);
 }
 
 Address CrowdMachine::address(int offset) const
@@ -61,9 +63,9 @@
 {
     const std::string path = fmt::format("{}/m{}.ini", options_.directory, options_.index);
     std::ofstream file(path);
-    file << "[instance]\nname = m" << options_.index << "\nzone = zone-0\nservice = " << options_.service
-         << "\ncaller-address = " << address(0).text() << "\nreport-address = " << address(1).text()
-         << "\nreadiness-address = " << address(2).text()
+    file << "[instance]\nname = m" << options_.index << "\nzone = " << zone
+         << "\nservice = " << options_.service << "\ncaller-address = " << address(0).text()
+         << "\nreport-address = " << address(1).text() << "\nreadiness-address = " << address(2).text()
          << "\nhost = 127.0.0.1\ninternal-ports = " << address(3).port << "," << address(4).port
          << "\nserver-address = " << address(5).text() << "\nstore-address = " << options_.store.text()
          << "\nreport-interval = 300ms\n[machine]\nmemory = " << options_.memoryMb
--- a/tests/crowds/crowdserver.cpp
+++ b/tests/crowds/crowdserver.cpp
@@ -39,10 +39,12 @@
     bool isInBody = false;
 };
 
-CrowdServer::CrowdServer(asio::io_context& loop, std::string service, const Address& address,
-    const Address& reportAddress, int slots)
+CrowdServer::CrowdServer(asio::io_context& loop, std::string service, std::string zone,
+    const Address& address, const Address& reportAddress, int slots)
     : loop_(loop)
     , service_(std::move(service))
+    , zone_(std::move(zone))
+    , address_(address)
     , acceptor_(loop, { asio::ip::make_address(address.host), static_cast<uint16_t>(address.port) })
     , reports_(loop, { reportAddress, callTimeout, callTimeout, false, {} })
     , timer_(loop)
@@ -123,9 +125,10 @@
 
 void CrowdServer::report()
 {
-    const nlohmann::json body { { "service", service_ }, { "slots", slots_ }, { "state", "ready" },
-        { "warmupLeft", "0ms" }, { "sequence", ++sequence_ }, { "born", 17 },
-        { "holds", nlohmann::json::array() }, { "released", nlohmann::json::array() } };
+    const nlohmann::json body { { "service", service_ }, { "address", address_.text() }, { "zone", zone_ },
+        { "version", "v1" }, { "slots", slots_ }, { "state", "ready" }, { "warmupLeft", "0ms" },
+        { "sequence", ++sequence_ }, { "born", 17 }, { "holds", nlohmann::json::array() },
+        { "released", nlohmann::json::array() } };
     reports_.call({ "PUT", "/instances/s-" + service_, {}, body.dump() }, callTimeout, [](const auto&) {});
     timer_.expires_after(reportInterval);
     timer_.async_wait([this, alive = isAlive_](std::error_code error) {
--- a/tests/crowds/crowdserver.h
+++ b/tests/crowds/crowdserver.h
@@ -22,7 +22,7 @@
     static constexpr size_t largeAnswerBytes = 200'000;
     static constexpr Milliseconds lateTime { 1'500 };
 
-    CrowdServer(asio::io_context& loop, std::string service, const Address& address,
+    CrowdServer(asio::io_context& loop, std::string service, std::string zone, const Address& address,
         const Address& reportAddress, int slots);
     ~CrowdServer() { *isAlive_ = false; }
     CrowdServer(const CrowdServer&) = delete;
@@ -42,6 +42,8 @@
 
     asio::io_context& loop_;
     std::string service_;
+    std::string zone_;
+    Address address_;
     asio::ip::tcp::acceptor acceptor_;
     HttpClient reports_;
     asio::steady_timer timer_;
--- a/tests/sidecar/serveranswers.cpp
+++ b/tests/sidecar/serveranswers.cpp
@@ -83,8 +83,10 @@
     {
         if (!sidecar->start().ok())
             std::abort();
-        reporter = std::make_unique<StandInServer>(loop, "server-" + settings.name, service,
-            Address { settings.serverAddress.host, settings.serverAddress.port + 1 }, settings.reportAddress);
+        const Address unused { settings.serverAddress.host, settings.serverAddress.port + 1 };
+        reporter = std::make_unique<StandInServer>(loop,
+            StandInServerOptions { "server-" + settings.name, service, settings.zone, unused,
+                settings.reportAddress, settings.serverAddress });
     }
 
     SidecarSettings settings;
--- a/tests/sidecar/sidecarfleet.h
+++ b/tests/sidecar/sidecarfleet.h
@@ -67,6 +67,14 @@
     return settings;
 }
 
+// The options of a server next to the instance with these settings.
+inline StandInServerOptions serverOptionsOf(const SidecarSettings& settings, const std::string& id,
+    int64_t startedMs, const std::string& version = {})
+{
+    return { id, settings.service, settings.zone, settings.serverAddress, settings.reportAddress, {},
+        startedMs, version };
+}
+
 // A server and the sidecar next to it. With `hasOwnLoop` the sidecar runs on its own loop, so that a test can
 // end its process.
 struct Instance {
@@ -83,8 +91,8 @@
     {
         if (!sidecar->start().ok())
             std::abort();
-        server = std::make_unique<StandInServer>(loop, "server-" + settings.name, service,
-            settings.serverAddress, settings.reportAddress, firstServerStart, version);
+        server = std::make_unique<StandInServer>(
+            loop, serverOptions("server-" + settings.name, firstServerStart, version));
     }
 
     // Closes all sockets of the sidecar, including those with unread data.
@@ -112,8 +120,14 @@
         stoppedServers.push_back(std::move(server));
         const auto incarnation = static_cast<int64_t>(stoppedServers.size());
         server = std::make_unique<StandInServer>(loop,
-            "server-" + settings.name + "-" + std::to_string(incarnation), settings.service,
-            settings.serverAddress, settings.reportAddress, firstServerStart + incarnation);
+            serverOptions("server-" + settings.name + "-" + std::to_string(incarnation),
+                firstServerStart + incarnation));
+    }
+
+    StandInServerOptions serverOptions(
+        const std::string& id, int64_t startedMs, const std::string& version = {}) const
+    {
+        return serverOptionsOf(settings, id, startedMs, version);
     }
 
     static constexpr int64_t firstServerStart = 17;
--- a/tests/sidecar/silentservers.cpp
+++ b/tests/sidecar/silentservers.cpp
@@ -49,9 +49,10 @@
     std::unique_ptr<StandInServer> startSuccessor()
     {
         const SidecarSettings& settings = instances[0]->settings;
-        const Address unused { settings.serverAddress.host, settings.serverAddress.port + 1 };
-        return std::make_unique<StandInServer>(
-            loop, "successor", settings.service, unused, settings.reportAddress, laterStart);
+        StandInServerOptions options = serverOptionsOf(settings, "successor", laterStart);
+        options.reportedAddress = settings.serverAddress;
+        options.address.port += 1;
+        return std::make_unique<StandInServer>(loop, options);
     }
 };
 
--- a/tests/soak/machine.cpp
+++ b/tests/soak/machine.cpp
@@ -132,8 +132,9 @@
     const auto incarnation = static_cast<int64_t>(servers_.size()) + 1;
     const std::string id
         = hasSameId && !servers_.empty() ? server().id() : fmt::format("{}-s{}", name(), incarnation);
-    servers_.push_back(std::make_unique<StandInServer>(
-        loop_, id, options_.service, address(ServerPort), address(ReportPort), incarnation));
+    servers_.push_back(std::make_unique<StandInServer>(loop_,
+        StandInServerOptions { id, options_.service, zone(), address(ServerPort), address(ReportPort),
+            address(ServerProxyPort), incarnation }));
     serverProxies_.push_back(
         std::make_unique<FaultProxy>(loop_, address(ServerProxyPort), address(ServerPort)));
     serverProxies_.back()->setResponseFilter(options_.responseFilter);
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -229,18 +229,14 @@
     answer(exchange, isCreation ? 201 : 200, objectOf(key));
 }
 
-StandInServer::StandInServer(asio::io_context& loop, std::string id, std::string service,
-    const Address& address, const Address& reportAddress, int64_t startedMs, std::string version)
-    : id_(std::move(id))
-    , service_(std::move(service))
-    , version_(std::move(version))
+StandInServer::StandInServer(asio::io_context& loop, StandInServerOptions options)
+    : options_(std::move(options))
     , server_(loop, [this](const auto& exchange) { handle(exchange); })
-    , client_(loop, { reportAddress, callTimeout, callTimeout, false, {} })
+    , client_(loop, { options_.reportAddress, callTimeout, callTimeout, false, {} })
     , timer_(loop)
     , loop_(loop)
-    , startedMs_(startedMs)
 {
-    if (!server_.listen(address).ok())
+    if (!server_.listen(options_.address).ok())
         std::abort();
     report();
     schedule();
@@ -266,7 +262,7 @@
         if (isWorkingIn(range))
             remaining.push_back(range);
         else
-            released.push_back({ range.first, range.last, "left-by-" + id_ });
+            released.push_back({ range.first, range.last, "left-by-" + options_.id });
     }
     releasing_ = std::move(remaining);
     return released;
@@ -283,13 +279,15 @@
                 holds.push_back({ range.first, range.last, range.fence });
         }
     }
-    const json body { { "service", service_ }, { "slots", slots_ }, { "version", version_ },
-        { "state", isDraining_ ? "draining" : "ready" },
+    const json body { { "service", options_.service },
+        { "address", options_.reportedAddress.value_or(options_.address).text() }, { "zone", options_.zone },
+        { "version", options_.version }, { "slots", slots_ }, { "state", isDraining_ ? "draining" : "ready" },
         { "warmupLeft", std::to_string(reportsCold_ ? coldFor().count() : 0) + "ms" },
-        { "sequence", ++sequence_ }, { "born", startedMs_ }, { "holds", holds }, { "released", released } };
+        { "sequence", ++sequence_ }, { "born", options_.startedMs }, { "holds", holds },
+        { "released", released } };
     ++openReports_;
-    client_.call(
-        { "PUT", "/instances/" + id_, {}, body.dump() }, callTimeout, [this, now](const CallResult& result) {
+    client_.call({ "PUT", "/instances/" + options_.id, {}, body.dump() }, callTimeout,
+        [this, now](const CallResult& result) {
             --openReports_;
             if (!isStopped_ && result.outcome == CallOutcome::Answered && result.response.status == 200)
                 applyReportResponse(result.response.body, now);
@@ -304,7 +302,7 @@
 
 void StandInServer::leave()
 {
-    client_.call({ "DELETE", "/instances/" + id_, {}, {} }, callTimeout, [](const CallResult&) {});
+    client_.call({ "DELETE", "/instances/" + options_.id, {}, {} }, callTimeout, [](const CallResult&) {});
 }
 
 void StandInServer::applyReportResponse(const std::string& answer, TimePoint sentAt)
@@ -366,7 +364,7 @@
     const HttpRequest& request = exchange->request();
     if (request.target == healthPath) {
         HttpResponse response = makeResponse(200, {});
-        response.headers.push_back({ "Persimmonfield-Instance-Id", id_ });
+        response.headers.push_back({ "Persimmonfield-Instance-Id", options_.id });
         response.headers.push_back({ "Persimmonfield-Warmup-Ms", std::to_string(coldFor().count()) });
         return exchange->respond(std::move(response));
     }
@@ -374,7 +372,7 @@
     const std::string* header = request.header("Persimmonfield-Shard-Key");
     const std::string* expected = request.header("Persimmonfield-Expect-Instance");
     const bool isKeyed = header && absl::SimpleAtoi(*header, &key);
-    const bool isMisdirected = (expected && *expected != id_) || (isKeyed && !holds(key));
+    const bool isMisdirected = (expected && *expected != options_.id) || (isKeyed && !holds(key));
     if (isMisdirected)
         return exchange->respond(makeServerResponse(request, 421, {}));
     runs_.push_back(request);
@@ -398,7 +396,7 @@
 
 void StandInServer::sendResponse(const std::shared_ptr<HttpExchange>& exchange)
 {
-    HttpResponse response = makeServerResponse(exchange->request(), status_, "from " + id_);
+    HttpResponse response = makeServerResponse(exchange->request(), status_, "from " + options_.id);
     response.headers.push_back({ "Persimmonfield-Response-Signature", "signed" });
     response.headers.push_back({ "Persimmonfield-Server-Load", "1,0,2,100" });
     exchange->respond(std::move(response));
@@ -407,7 +405,7 @@
 void StandInServer::answerHeldRequests()
 {
     for (const auto& exchange : std::exchange(heldRequests_, {}))
-        exchange->respond(makeServerResponse(exchange->request(), 200, "late from " + id_));
+        exchange->respond(makeServerResponse(exchange->request(), 200, "late from " + options_.id));
 }
 
 void StandInServer::stop()
--- a/tests/standins/loopback.h
+++ b/tests/standins/loopback.h
@@ -113,6 +113,17 @@
     std::vector<std::shared_ptr<HttpExchange>> unansweredWrites_;
 };
 
+struct StandInServerOptions {
+    std::string id;
+    std::string service;
+    std::string zone;
+    Address address; // The server listens on it.
+    Address reportAddress; // Of its daemon.
+    std::optional<Address> reportedAddress {}; // As its reports state it, if it is not `address`.
+    int64_t startedMs = 17;
+    std::string version {};
+};
+
 // A stand-in for a backend server: reports to its daemon, holds the key ranges that the daemon grants and
 // answers requests.
 class StandInServer {
@@ -124,8 +135,7 @@
         int64_t fence = 0;
     };
 
-    StandInServer(asio::io_context& loop, std::string id, std::string service, const Address& address,
-        const Address& reportAddress, int64_t startedMs = 17, std::string version = {});
+    StandInServer(asio::io_context& loop, StandInServerOptions options);
 
     void report();
     // Stops the periodic reports; report() still works.
@@ -160,7 +170,7 @@
     const std::vector<HttpRequest>& runs() const { return runs_; }
     int64_t reports() const { return sequence_; }
     bool isReportAnswered() const { return openReports_ == 0; }
-    const std::string& id() const { return id_; }
+    const std::string& id() const { return options_.id; }
     bool holds(int key) const;
     // Whether the server holds keys of the range or still works on a request for one of them.
     bool isBusyWith(const HeldRange& range) const;
@@ -175,9 +185,7 @@
     nlohmann::json takeReleased();
     Milliseconds coldFor() const;
 
-    std::string id_;
-    std::string service_;
-    std::string version_;
+    StandInServerOptions options_;
     HttpServer server_;
     HttpClient client_;
     asio::steady_timer timer_;
@@ -187,7 +195,6 @@
     bool isDraining_ = false;
     bool isHoldingResponses_ = false;
     bool isStopped_ = false;
-    int64_t startedMs_;
     Milliseconds workTime_ { 0 };
     int status_ = 200;
     int slots_ = 2;
