Reports: a status report that is not whole, or not of the server beside the instance, is refused

Cause: the reader filled in missing fields, and the monitor took what was left for the next start of the server: the known server had crashed, its connections were closed, and all that it still reported was stale. Of what the settings say about the server beside the instance, only the service was compared.

Change: every field that the platform's page names is required, with its type and a possible value; service, address and zone must be those of the settings; a start more than an hour from now is refused, and so is a report without keys if the service is divided by key. Numbers, durations and ids that do not fit are refused as well: slots and unsigned numbers wrapped around, durations overflowed, an id that is not UTF-8 stopped the writing of the instance's entry, and a cause that quoted such bytes could not be answered.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -26,7 +26,7 @@
     return std::chrono::duration_cast<Milliseconds>(duration);
 }
 
-// Wall clock time in milliseconds since the epoch. Only for display and for idempotency keys.
+// Wall clock time in milliseconds since the epoch. Clocks of different machines differ.
 Milliseconds wallClockNow();
 
 }
--- a/src/sidecar/fleetdirectory.cpp
+++ b/src/sidecar/fleetdirectory.cpp
@@ -3,6 +3,7 @@
 #include "base/address.h"
 #include "base/logger.h"
 #include "config/configuration.h"
+#include "sidecar/protocoladapter.h"
 #include "store/storerevision.h"
 
 #include <absl/strings/match.h>
@@ -26,8 +27,6 @@
     constexpr const char* keyTablePrefix = "keys.";
     constexpr const char* rolloutPrefix = "rollout.";
 
-    constexpr int64_t maxSlots = 1'000'000;
-
     constexpr const char* eraInfix = ".era-";
 
     // The name of the service's table in an era.
@@ -93,7 +92,7 @@
             if (const auto address = parseAddress(entry.peerAddress); !address.ok())
                 throw std::invalid_argument(std::string(address.status().message()));
         }
-        if (entry.server && (entry.server->slots < 0 || entry.server->slots > maxSlots))
+        if (entry.server && (entry.server->slots < 0 || entry.server->slots > maxServerSlots))
             throw std::invalid_argument(fmt::format("{} slots", entry.server->slots));
     }
 
--- a/src/sidecar/protocoladapter.h
+++ b/src/sidecar/protocoladapter.h
@@ -33,16 +33,21 @@
     std::optional<peer::ServerLoad> load;
 };
 
+// Servers with more slots are not used.
+inline constexpr int64_t maxServerSlots = 1'000'000;
+
 // The periodic report of the server next to this instance.
 struct ServerReport {
     ServerIncarnation incarnation;
     int64_t sequence = 0; // Increases with each report of the same incarnation.
     std::string service;
     std::string address; // The address that the server listens on.
+    std::string zone;
     std::string version; // Of the server's software; empty if it is not told.
     int slots = 1;
     bool isDraining = false;
     Milliseconds coldFor { 0 }; // Remaining time of its warm-up.
+    bool hasKeys = false; // Whether it states `holds` and `released`.
     std::vector<KeyGrant> holds;
     std::vector<KeyGrant> released;
 };
--- a/src/sidecar/servermonitor.cpp
+++ b/src/sidecar/servermonitor.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logger.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -11,6 +12,9 @@
 
     // A server that has not reported for this many report intervals counts as silent.
     constexpr int maxMissedReports = 3;
+    // The clocks of a server and of this instance differ by less. A server that claims to have started later
+    // than now would make the reports of all others stale.
+    constexpr Milliseconds maxClockDifference = std::chrono::hours(1);
 
 }
 
@@ -84,14 +88,34 @@
     return report.sequence <= known.sequence || server_->hasLeft;
 }
 
+// Why the report cannot be that of the server next to this instance; empty if it can.
+std::string ServerMonitor::mismatch(const ServerReport& report) const
+{
+    const SidecarSettings& settings = options_.settings;
+    if (report.service != settings.service)
+        return fmt::format("the server next to this instance is of service '{}'", settings.service);
+    const auto address = parseAddress(report.address);
+    if (!address.ok() || address->text() != settings.serverAddress.text())
+        return fmt::format("the server next to this instance is at {}", settings.serverAddress.text());
+    if (report.zone != settings.zone)
+        return fmt::format("the server next to this instance is in zone '{}'", settings.zone);
+    if (Milliseconds(report.incarnation.startedMs) > wallClockNow() + maxClockDifference)
+        return "the server has started in the future";
+    if (options_.isKeyed() && !report.hasKeys)
+        return "the service is divided by key, and the report states no keys";
+    return {};
+}
+
 ServerReportAnswer ServerMonitor::applyReport(const ServerReport& report, bool& needsKeys)
 {
     ServerReportAnswer answer;
-    if (report.service != options_.settings.service) {
-        log(LogLevel::Warning, "report-service-mismatch",
-            { { "server", report.incarnation.id }, { "service", report.service } });
+    if (const std::string cause = mismatch(report); !cause.empty()) {
+        log(LogLevel::Warning, "report-mismatch",
+            { { "server", report.incarnation.id }, { "service", report.service },
+                { "address", report.address }, { "zone", report.zone },
+                { "startedMs", report.incarnation.startedMs }, { "cause", cause } });
         answer.isAccepted = false;
-        answer.cause = "the server is not of the service that belongs beside this instance";
+        answer.cause = cause;
         return answer;
     }
     if (isStale(report)) {
--- a/src/sidecar/servermonitor.h
+++ b/src/sidecar/servermonitor.h
@@ -24,6 +24,8 @@
     ServerGate* gate = nullptr;
     // Determines the keys that the server is to hold; calls `done` at once or after a short delay.
     std::function<void(const ServerReport& report, const KeysCallback& done)> requestKeys;
+    // Whether the server's service is divided by key, as far as it is known. Its reports then state keys.
+    std::function<bool()> isKeyed;
     // Called when the server has appeared, changed its state or disappeared.
     std::function<void()> onChange;
 };
@@ -67,6 +69,7 @@
     // requested.
     ServerReportAnswer applyReport(const ServerReport& report, bool& needsKeys);
     void handleLeave(const ServerLeave& leave);
+    std::string mismatch(const ServerReport& report) const;
     bool isStale(const ServerReport& report) const;
     bool hadLeft(const ServerIncarnation& incarnation) const;
     void publishState(const char* cause);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -111,6 +111,7 @@
     serverMonitor_
         = std::make_unique<ServerMonitor>(ServerMonitorOptions { &loop_, &protocol_, settings_, gate_.get(),
             [this](const ServerReport& report, const KeysCallback& done) { requestKeys(report, done); },
+            [this] { return keys_ != nullptr; },
             [this] {
                 publishEntry();
                 onDirectoryChange();
--- a/tests/platform/oddentries.cpp
+++ b/tests/platform/oddentries.cpp
@@ -86,7 +86,9 @@
 TEST(OddEntries, ReportsThatCannotBeReadAreRefused)
 {
     const auto report = [](const std::string& holds) {
-        return R"({"service":"s","slots":1,"state":"ready","sequence":1,"holds":)" + holds + "}";
+        return R"({"service":"s","address":"1.2.3.4:5","zone":"a","version":"v1","slots":1,"state":"ready",)"
+               R"("warmupLeft":"0ms","sequence":1,"born":17,"released":[],"holds":)"
+            + holds + "}";
     };
     CHECK(isAccepted(report("[[0,1,2]]")));
     for (const char* holds : { "[[0,1,1e300]]", "[[0,1,99999999999999999999]]", "[[0,1,1e999]]", "17" })
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -209,13 +209,23 @@
 
 TEST(ReportWire, MalformedReportsAreRejected)
 {
-    for (const char* body : { "", "no json", "[]", "{}", R"({"service":1})",
-             R"({"service":"s","slots":9,"state":"asleep","sequence":1})",
-             R"({"service":"s","slots":0,"state":"ready","sequence":1})",
-             R"({"service":"s","slots":9,"state":"ready","sequence":1.5})",
-             R"({"service":"s","slots":9,"state":"ready","sequence":1,"holds":[[1,2]]})",
-             R"({"service":"s","slots":9,"state":"ready","sequence":1,"warmupLeft":"x"})" })
+    for (const char* body : { "", "no json", "[]", "{}", R"({"service":1})" })
         CHECK(!protocol.readReport(put(body)).ok());
+    const auto sound = nlohmann::json::parse(
+        R"({"service":"s","address":"1.2.3.4:5","zone":"a","version":"v1","slots":9,"state":"ready","warmupLeft":"0ms","sequence":1,"born":17})");
+    CHECK(protocol.readReport(put(sound.dump())).ok());
+    for (const char* fault : { R"({"state":"asleep"})", R"({"slots":0})", R"({"sequence":1.5})",
+             R"({"holds":[[1,2]]})", R"({"warmupLeft":"x"})", R"({"warmupLeft":"-1ms"})",
+             R"({"warmupLeft":"1e300s"})", R"({"born":0})", R"({"slots":4294967305})" }) {
+        nlohmann::json report = sound;
+        report.update(nlohmann::json::parse(fault));
+        CHECK_TEXT(!protocol.readReport(put(report.dump())).ok(), fault);
+    }
+    for (const auto& [field, value] : sound.items()) {
+        nlohmann::json report = sound;
+        report.erase(field);
+        CHECK_TEXT(!protocol.readReport(put(report.dump())).ok(), field.c_str());
+    }
     CHECK(!protocol.readReport({ "PUT", "/instances/", {}, "{}" }).ok());
     CHECK(std::holds_alternative<ServerLeave>(*protocol.readReport({ "DELETE", "/instances/i-1", {}, {} })));
 }
