Departures: a server's departure is acknowledged once the store holds it

What callers saw: a server announced its exit, its instance acknowledged that and lost power.

Cause: the acknowledgement was given at once, the entry in the store was written meanwhile, and the sequence numbers that tell a late report are in memory alone. In the entry, the departure was one state of the one known server, which silence, a start without a report and a report of ready replaced; a DELETE of a server that the instance did not know after its start was acknowledged and dropped.

Change: the entry lists the departed servers beside the server in use. DELETE and reports of draining are answered when the store has acknowledged an entry that lists the server, or with 503 after two thirds of the time that the server waits. Requests to the server stop at once, as before. Who is listed is not used again; a later start with the same id is. The earlier entry is read with the first page of the fleet's watch, whatever was listed before, and a report that came before it no longer counts as stale against itself.

--- a/src/sidecar/entrypublisher.cpp
+++ b/src/sidecar/entrypublisher.cpp
@@ -44,6 +44,7 @@
     if (known == directory_.instances().end() || known->second.isStored)
         return;
     log(LogLevel::Info, "entry-restored", { { "revision", known->second.storeRevision } });
+    stored_.reset();
     isWritten_ = false;
     write();
 }
@@ -59,6 +60,7 @@
     const auto known = directory_.instances().find(desired_->name);
     if (known != directory_.instances().end())
         revision_ = std::max(revision_, known->second.storeRevision);
+    sent_ = desired_;
     store_.write({ fleetKind, instanceObjectName(desired_->name), valueOf(*desired_), revision_ },
         [this](const StoreWriteResult& result) { onWriteDone(result); });
 }
@@ -71,6 +73,7 @@
         directory_.apply({ { *result.object }, false, result.object->revision }, false);
     }
     if (result.outcome == WriteOutcome::Applied) {
+        stored_ = std::move(sent_);
         onWritten_();
         return write();
     }
@@ -78,6 +81,7 @@
     log(LogLevel::Info, "entry-not-written", { { "cause", result.detail }, { "revision", revision_ } });
     // The object has another revision, which is known now, or it no longer exists.
     if (result.outcome == WriteOutcome::Conflict) {
+        stored_.reset();
         if (!result.object)
             revision_ = 0;
         return write();
--- a/src/sidecar/entrypublisher.h
+++ b/src/sidecar/entrypublisher.h
@@ -27,8 +27,9 @@
     // called when the directory has applied a listing.
     void restore();
 
-    // Whether the store holds the entry that was published last.
-    bool isPublished() const { return !desired_ || isWritten_; }
+    // The newest entry that the store has acknowledged; nullopt if there is none, or if the store is known to
+    // hold another one.
+    const std::optional<stored::InstanceEntry>& storedEntry() const { return stored_; }
 
 private:
     void write();
@@ -39,9 +40,11 @@
     std::function<void()> onWritten_;
     asio::steady_timer retryTimer_;
     std::optional<stored::InstanceEntry> desired_;
+    std::optional<stored::InstanceEntry> sent_; // By the write in flight.
+    std::optional<stored::InstanceEntry> stored_;
     int64_t revision_ = 0;
     bool isWriting_ = false;
-    bool isWritten_ = false;
+    bool isWritten_ = false; // Or being written.
 };
 
 }
--- a/src/sidecar/protocoladapter.h
+++ b/src/sidecar/protocoladapter.h
@@ -59,9 +59,15 @@
 
 using ServerMessage = std::variant<ServerReport, ServerLeave>;
 
+enum class ReportOutcome {
+    Acknowledged,
+    Refused, // The message is not one of the server next to this instance.
+    NotRecorded, // The server's departure could not be recorded in time. It should be announced again.
+};
+
 struct ServerReportAnswer {
-    bool isAccepted = true;
-    std::string cause; // Why the report was not accepted.
+    ReportOutcome outcome = ReportOutcome::Acknowledged;
+    std::string cause; // Why the message is not acknowledged.
     std::optional<KeyAnswer> keys; // nullopt renews no grants.
 };
 
--- a/src/sidecar/servermonitor.cpp
+++ b/src/sidecar/servermonitor.cpp
@@ -12,6 +12,11 @@
 
     // A server that has not reported for this many report intervals counts as silent.
     constexpr int maxMissedReports = 3;
+    // A departure must be stored within this fraction of the time after which the server considers its report
+    // lost.
+    constexpr double maxStoreWaitFraction = 2.0 / 3;
+    // A server announces its departure for at most this time.
+    constexpr Milliseconds maxAnnouncementTime { 10'000 };
     // The clocks of a server and of this instance differ by less. A server that claims to have started later
     // than now would make the reports of all others stale.
     constexpr Milliseconds maxClockDifference = std::chrono::hours(1);
@@ -21,6 +26,7 @@
 ServerMonitor::ServerMonitor(ServerMonitorOptions options)
     : options_(std::move(options))
     , silenceTimer_(*options_.loop)
+    , storedTimer_(*options_.loop)
 {
 }
 
@@ -29,24 +35,78 @@
     const auto message = options_.protocol->readReport(exchange->request());
     ServerReportAnswer result;
     if (!message.ok()) {
-        result.isAccepted = false;
+        result.outcome = ReportOutcome::Refused;
         result.cause = std::string(message.status().message());
         log(LogLevel::Warning, "report-unreadable", { { "cause", result.cause } });
         return respond(exchange, result);
     }
-    if (const auto* leave = std::get_if<ServerLeave>(&*message)) {
-        handleLeave(*leave);
-        return respond(exchange, result);
-    }
+    if (const auto* leave = std::get_if<ServerLeave>(&*message))
+        return respondOnceStored(handleLeave(*leave), exchange, [this, exchange] { respond(exchange, {}); });
     const auto& report = std::get<ServerReport>(*message);
     bool needsKeys = false;
     result = applyReport(report, needsKeys);
-    if (!needsKeys)
-        return respond(exchange, result);
-    options_.requestKeys(report, [this, exchange, result](std::optional<KeyAnswer> keys) {
-        ServerReportAnswer whole = result;
-        whole.keys = std::move(keys);
-        respond(exchange, whole);
+    const auto answer = [this, exchange, result, report, needsKeys] {
+        if (needsKeys)
+            respondWithKeys(exchange, report);
+        else
+            respond(exchange, result);
+    };
+    if (report.isDraining && result.outcome == ReportOutcome::Acknowledged)
+        return respondOnceStored(report.incarnation, exchange, answer);
+    answer();
+}
+
+void ServerMonitor::respondWithKeys(const std::shared_ptr<HttpExchange>& exchange, const ServerReport& report)
+{
+    options_.requestKeys(report, [this, exchange](std::optional<KeyAnswer> keys) {
+        ServerReportAnswer answer;
+        answer.keys = std::move(keys);
+        respond(exchange, answer);
+    });
+}
+
+// Responds once the store holds the departure. If that takes too long, the departure is not acknowledged; the
+// server announces it again. It gets no more requests meanwhile.
+void ServerMonitor::respondOnceStored(const ServerIncarnation& departed,
+    const std::shared_ptr<HttpExchange>& exchange, std::function<void()> respond)
+{
+    if (options_.isDepartureStored(departed))
+        return respond();
+    const TimePoint waitsUntil = BootClock::now()
+        + std::chrono::duration_cast<Duration>(options_.settings.reportTimeout * maxStoreWaitFraction);
+    unstoredDepartures_.push_back({ departed, exchange, std::move(respond), waitsUntil });
+    if (unstoredDepartures_.size() == 1)
+        refuseUnstored();
+}
+
+void ServerMonitor::onEntryStored()
+{
+    for (UnstoredDeparture& each : std::exchange(unstoredDepartures_, {})) {
+        if (options_.isDepartureStored(each.server))
+            each.respond();
+        else
+            unstoredDepartures_.push_back(std::move(each));
+    }
+}
+
+// Refuses the acknowledgements that have waited too long, now and whenever the next one has.
+void ServerMonitor::refuseUnstored()
+{
+    const TimePoint now = BootClock::now();
+    while (!unstoredDepartures_.empty() && unstoredDepartures_.front().waitsUntil <= now) {
+        const UnstoredDeparture each = std::move(unstoredDepartures_.front());
+        unstoredDepartures_.erase(unstoredDepartures_.begin());
+        log(LogLevel::Warning, "departure-not-stored",
+            { { "server", each.server.id }, { "startedMs", each.server.startedMs } });
+        respond(each.exchange,
+            { ReportOutcome::NotRecorded, "the store has not acknowledged the departure yet", {} });
+    }
+    if (unstoredDepartures_.empty())
+        return;
+    storedTimer_.expires_after(unstoredDepartures_.front().waitsUntil - now);
+    storedTimer_.async_wait([this](std::error_code error) {
+        if (!error)
+            refuseUnstored();
     });
 }
 
@@ -56,27 +116,33 @@
     exchange->respond(options_.protocol->writeReportAnswer(answer));
 }
 
-void ServerMonitor::setEarlierEntry(const stored::ServerEntry& entry)
+void ServerMonitor::setEarlierEntry(const stored::InstanceEntry& entry)
 {
-    earlierEntry_ = entry;
+    for (const stored::DepartedServer& each : entry.departedServers.value_or(DepartedServers()))
+        addDeparted(departedServers_, { each.id, each.startedMs });
+    earlierEntry_ = entry.server;
+    // Entries of earlier versions have no list of departed servers.
+    if (earlierEntry_ && earlierEntry_->readiness == stored::Readiness::Draining)
+        addDeparted(departedServers_, { earlierEntry_->id, earlierEntry_->startedMs });
     if (!server_)
         return;
-    if (isStale(server_->report) || hadLeft(server_->report.incarnation)) {
-        server_->drainingSince = server_->drainingSince.value_or(TimePoint());
+    const ServerIncarnation& incarnation = server_->report.incarnation;
+    if (isBeforeEarlierEntry(incarnation) || hasDeparted(departedServers_, incarnation)) {
+        // When the departure was acknowledged is not known.
+        server_->drainingSince = TimePoint();
         publishState("left-before");
     }
 }
 
-// Whether an earlier run of this instance knew that the server was leaving, which it does only once.
-bool ServerMonitor::hadLeft(const ServerIncarnation& incarnation) const
+// Whether the incarnation was followed by another one, which an earlier run of this instance has known.
+bool ServerMonitor::isBeforeEarlierEntry(const ServerIncarnation& incarnation) const
 {
-    return earlierEntry_ && earlierEntry_->readiness == stored::Readiness::Draining
-        && incarnation == ServerIncarnation { earlierEntry_->id, earlierEntry_->startedMs };
+    return earlierEntry_ && incarnation.startedMs < earlierEntry_->startedMs;
 }
 
 bool ServerMonitor::isStale(const ServerReport& report) const
 {
-    if (earlierEntry_ && report.incarnation.startedMs < earlierEntry_->startedMs)
+    if (isBeforeEarlierEntry(report.incarnation))
         return true;
     if (!server_)
         return false;
@@ -114,27 +180,28 @@
             { { "server", report.incarnation.id }, { "service", report.service },
                 { "address", report.address }, { "zone", report.zone },
                 { "startedMs", report.incarnation.startedMs }, { "cause", cause } });
-        answer.isAccepted = false;
+        answer.outcome = ReportOutcome::Refused;
         answer.cause = cause;
         return answer;
     }
     if (isStale(report)) {
         log(LogLevel::Info, "report-stale",
             { { "server", report.incarnation.id }, { "sequence", report.sequence } });
+        if (report.isDraining)
+            recordDeparture(report.incarnation, "state");
         return answer;
     }
     const TimePoint now = BootClock::now();
     const bool isNewIncarnation = !server_ || server_->report.incarnation != report.incarnation;
     const bool wasDraining = !isNewIncarnation && server_->drainingSince;
     const bool wasSilent = !isNewIncarnation && server_->isSilent;
+    const bool hadDeparted = hasDeparted(departedServers_, report.incarnation);
     Server server;
     if (!isNewIncarnation)
         server.drainingSince = server_->drainingSince;
-    if (report.isDraining && !server.drainingSince)
+    if (report.isDraining && addDeparted(departedServers_, report.incarnation))
         server.drainingSince = now;
-    if (!report.isDraining)
-        server.drainingSince.reset();
-    if (hadLeft(report.incarnation))
+    if (hadDeparted && !server.drainingSince)
         server.drainingSince = TimePoint();
     server.report = report;
     server.reportedAt = now;
@@ -150,14 +217,40 @@
     return answer;
 }
 
-void ServerMonitor::handleLeave(const ServerLeave& leave)
+ServerIncarnation ServerMonitor::handleLeave(const ServerLeave& leave)
 {
-    if (!server_ || server_->report.incarnation.id != leave.id || server_->hasLeft)
+    ServerIncarnation incarnation = leavingIncarnation(leave.id);
+    log(LogLevel::Info, "server-left", { { "server", leave.id }, { "startedMs", incarnation.startedMs } });
+    if (server_ && server_->report.incarnation == incarnation)
+        server_->hasLeft = true;
+    recordDeparture(incarnation, "leave");
+    return incarnation;
+}
+
+// Records the departure of a server, which need not be the one in use.
+void ServerMonitor::recordDeparture(const ServerIncarnation& incarnation, const char* cause)
+{
+    if (!addDeparted(departedServers_, incarnation))
         return;
-    server_->hasLeft = true;
+    if (!server_ || server_->report.incarnation != incarnation)
+        return options_.onChange();
     if (!server_->drainingSince)
         server_->drainingSince = BootClock::now();
-    publishState("leave");
+    publishState(cause);
+}
+
+// A server that this run of the instance does not know has started before now.
+ServerIncarnation ServerMonitor::leavingIncarnation(const std::string& id) const
+{
+    if (server_ && server_->report.incarnation.id == id)
+        return server_->report.incarnation;
+    const int64_t nowMs = wallClockNow().count();
+    // A departure that is announced again needs no new record.
+    for (const stored::DepartedServer& each : departedServers_) {
+        if (each.id == id && Milliseconds(nowMs - each.startedMs) < maxAnnouncementTime)
+            return { id, each.startedMs };
+    }
+    return { id, nowMs };
 }
 
 void ServerMonitor::publishState(const char* cause)
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -112,11 +112,16 @@
         = std::make_unique<ServerMonitor>(ServerMonitorOptions { &loop_, &protocol_, settings_, gate_.get(),
             [this](const ServerReport& report, const KeysCallback& done) { requestKeys(report, done); },
             [this] { return keys_ != nullptr; },
+            [this](const ServerIncarnation& server) {
+                const auto& entry = entryPublisher_->storedEntry();
+                return entry && entry->departedServers && hasDeparted(*entry->departedServers, server);
+            },
             [this] {
                 publishEntry();
                 onDirectoryChange();
             } });
     entryPublisher_ = std::make_unique<EntryPublisher>(loop_, store_, directory_, [this] {
+        serverMonitor_->onEntryStored();
         if (keys_)
             notifier_->tellPlanners();
         onDirectoryChange();
@@ -262,6 +267,8 @@
     if (settings_.cores > 0)
         entry.cores = settings_.cores;
     entry.server = serverMonitor_->entry();
+    if (!serverMonitor_->departedServers().empty())
+        entry.departedServers = serverMonitor_->departedServers();
     if (auto crashCounts = quarantine_.published(); !crashCounts.empty())
         entry.crashCounts = std::move(crashCounts);
     entryPublisher_->publish(std::move(entry));
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -123,6 +123,7 @@
     asio::steady_timer stopTimer_;
     asio::steady_timer secretTimer_;
     std::function<uint64_t()> random_;
+    bool isEarlierEntryRead_ = false; // The entry that an earlier run of this instance has left.
     bool isJoining_ = false;
     bool isStopping_ = false;
     bool isFinishing_ = false; // No requests are left; only the callers' connections are being closed.
--- a/src/sidecar/sidecarjoining.cpp
+++ b/src/sidecar/sidecarjoining.cpp
@@ -31,11 +31,12 @@
 
 void Sidecar::onFleet(const StorePage& page, bool isFullListing)
 {
-    const bool isFirst = !directory_.isLoaded();
     directory_.apply(page, isFullListing);
+    // The directory may have been loaded by another listing than that of this watch.
+    const bool isFirst = !std::exchange(isEarlierEntryRead_, true);
     const stored::InstanceEntry* own = isFirst ? directory_.instance(settings_.name) : nullptr;
-    if (own && own->incarnation != incarnation_ && own->server)
-        serverMonitor_->setEarlierEntry(*own->server);
+    if (own && own->incarnation != incarnation_)
+        serverMonitor_->setEarlierEntry(*own);
     applyCrashCounts(page);
     bool hasSecret = false;
     for (const StoreObject& object : page.objects) {
--- a/tests/platform/wire.cpp
+++ b/tests/platform/wire.cpp
@@ -254,8 +254,10 @@
     answer.keys = KeyAnswer { { { 0, 9, 3, "h" } }, Milliseconds(2'610) };
     STRCMP_EQUAL(
         R"({"hold_time":"2610ms","holds":[[0,9,3,"h"]]})", protocol.writeReportAnswer(answer).body.c_str());
-    answer.isAccepted = false;
+    answer.outcome = ReportOutcome::Refused;
     LONGS_EQUAL(400, protocol.writeReportAnswer(answer).status);
+    answer.outcome = ReportOutcome::NotRecorded;
+    LONGS_EQUAL(503, protocol.writeReportAnswer(answer).status);
 }
 
 TEST_GROUP(StoreWire)
--- a/tests/sidecar/restarts.cpp
+++ b/tests/sidecar/restarts.cpp
@@ -1,45 +1,13 @@
 // What an instance does after its own restart with what was known before: servers that have left, caller keys
 // that were withdrawn.
 
-#include "sidecarfleet.h"
+#include "restartedfleet.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace persimmonfield;
 using namespace persimmonfield::testing;
 
-namespace {
-
-struct RestartedFleet : public SidecarFleet {
-    void setup() override
-    {
-        SidecarFleet::setup();
-        canAllEnd = true;
-    }
-
-    void endFirst() { instances[0]->endProcess(); }
-    void startFirst() { instances[0]->startProcess(); }
-
-    std::string incarnationOfFirst() const
-    {
-        return store->value(fleetKind, instanceObjectName("i0")).value("incarnation", "");
-    }
-
-    std::string readinessOfFirst() const
-    {
-        const auto entry = store->value(fleetKind, instanceObjectName("i0"));
-        return entry.contains("server") ? entry.at("server").value("readiness", "") : "";
-    }
-
-    // Waits until the first instance has written its entry after a restart.
-    void awaitNewEntry(const std::string& before)
-    {
-        CHECK(runUntil([&] { return incarnationOfFirst() != before && !readinessOfFirst().empty(); }));
-    }
-};
-
-}
-
 TEST_GROUP_BASE(Restarts, RestartedFleet) {};
 
 // The server has announced that it leaves and still serves. A report that it sent earlier arrives at the
--- a/tests/sidecar/sidecarfleet.h
+++ b/tests/sidecar/sidecarfleet.h
@@ -47,7 +47,8 @@
         { "clusters", { { { "name", "gallery" }, { "sharded", true } }, { { "name", "orders" } } } } };
 }
 
-inline SidecarSettings settingsOf(int index, const std::string& service, double canaryShare = 0)
+inline SidecarSettings settingsOf(
+    int index, const std::string& service, double canaryShare = 0, Milliseconds reportTimeout = longTime)
 {
     const int port = firstPort + index * portsPerInstance;
     SidecarSettings settings;
@@ -61,7 +62,7 @@
     settings.serverAddress = { "127.0.0.1", port + 4 };
     settings.storeAddress = index == 2 ? proxiedStoreAddress : storeAddress;
     settings.reportInterval = Milliseconds(300);
-    settings.reportTimeout = longTime;
+    settings.reportTimeout = reportTimeout;
     settings.stopTime = Milliseconds(4'000);
     settings.canaryShare = canaryShare;
     return settings;
@@ -80,8 +81,8 @@
 struct Instance {
     // `version` is that of the server. Roll-outs are possible if the canary share is not 0.
     Instance(asio::io_context& loop, int index, const std::string& service, bool hasOwnLoop = false,
-        const std::string& version = {}, double canaryShare = 0)
-        : settings(settingsOf(index, service, canaryShare))
+        const std::string& version = {}, double canaryShare = 0, Milliseconds reportTimeout = longTime)
+        : settings(settingsOf(index, service, canaryShare, reportTimeout))
         , process(hasOwnLoop ? std::make_unique<asio::io_context>(1) : nullptr)
         , sidecar(Sidecar::Builder()
                       .setSettings(settings)
@@ -149,6 +150,7 @@
     int64_t requests = 0;
     bool canAllEnd = false; // Whether each instance has its own loop.
     double canaryShare = 0;
+    Milliseconds reportTimeout = longTime; // Of the instances' settings.
     std::vector<std::string> versions; // Of the servers, by the index of their instances; others have none.
 
     void setup() override
@@ -163,8 +165,8 @@
             const auto index = static_cast<int>(instances.size());
             const bool canEnd = canAllEnd || (canFirstEnd && index == 0);
             const std::string version = instances.size() < versions.size() ? versions[instances.size()] : "";
-            instances.push_back(
-                std::make_unique<Instance>(loop, index, service, canEnd, version, canaryShare));
+            instances.push_back(std::make_unique<Instance>(
+                loop, index, service, canEnd, version, canaryShare, reportTimeout));
         }
         CHECK(runUntil([this] { return isServing(); }));
     }
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -246,13 +246,20 @@
 {
     timer_.expires_after(reportInterval);
     timer_.async_wait([this](std::error_code error) {
-        if (error || isStopped_)
+        if (error || isStopped_ || !isReporting_)
             return;
         report();
         schedule();
     });
 }
 
+void StandInServer::stopReports()
+{
+    // The timer may have expired already.
+    isReporting_ = false;
+    timer_.cancel();
+}
+
 // Returns the withdrawn ranges that no running request uses any more, and forgets them.
 json StandInServer::takeReleased()
 {
@@ -289,6 +296,7 @@
     client_.call({ "PUT", "/instances/" + options_.id, {}, body.dump() }, callTimeout,
         [this, now](const CallResult& result) {
             --openReports_;
+            reportStatus_ = result.outcome == CallOutcome::Answered ? result.response.status : 0;
             if (!isStopped_ && result.outcome == CallOutcome::Answered && result.response.status == 200)
                 applyReportResponse(result.response.body, now);
         });
@@ -300,9 +308,13 @@
     return std::max(Milliseconds(0), left);
 }
 
-void StandInServer::leave()
+void StandInServer::leave(std::function<void(int status)> done)
 {
-    client_.call({ "DELETE", "/instances/" + options_.id, {}, {} }, callTimeout, [](const CallResult&) {});
+    client_.call({ "DELETE", "/instances/" + options_.id, {}, {} }, callTimeout,
+        [done = std::move(done)](const CallResult& result) {
+            if (done)
+                done(result.outcome == CallOutcome::Answered ? result.response.status : 0);
+        });
 }
 
 void StandInServer::applyReportResponse(const std::string& answer, TimePoint sentAt)
--- a/tests/standins/loopback.h
+++ b/tests/standins/loopback.h
@@ -139,8 +139,9 @@
 
     void report();
     // Stops the periodic reports; report() still works.
-    void stopReports() { timer_.cancel(); }
-    void setDraining() { isDraining_ = true; }
+    void stopReports();
+    // Whether the reports say that the server is draining.
+    void setDraining(bool isDraining = true) { isDraining_ = isDraining; }
     // While holding, requests are answered only by answerHeldRequests().
     void holdResponses(bool isHolding) { isHoldingResponses_ = isHolding; }
     void answerHeldRequests();
@@ -154,8 +155,9 @@
     void setCold(Milliseconds time) { coldUntil_ = BootClock::now() + time; }
     // Whether the reports say that the server is cold; its health path does in any case.
     void setReportsCold(bool reportsCold) { reportsCold_ = reportsCold; }
-    // Deregisters from the daemon but continues to serve.
-    void leave();
+    // Deregisters from the daemon but continues to serve. `done` gets the status of the answer, 0 if there is
+    // none.
+    void leave(std::function<void(int status)> done = nullptr);
     // Stops as in a crash; the server holds no ranges afterwards.
     void stop();
     bool isUp() const { return !isStopped_; }
@@ -170,6 +172,8 @@
     const std::vector<HttpRequest>& runs() const { return runs_; }
     int64_t reports() const { return sequence_; }
     bool isReportAnswered() const { return openReports_ == 0; }
+    // Status of the last answer to a report; 0 if there is none.
+    int reportStatus() const { return reportStatus_; }
     const std::string& id() const { return options_.id; }
     bool holds(int key) const;
     // Whether the server holds keys of the range or still works on a request for one of them.
@@ -192,9 +196,11 @@
     asio::io_context& loop_;
     int64_t sequence_ = 0;
     int openReports_ = 0;
+    int reportStatus_ = 0;
     bool isDraining_ = false;
     bool isHoldingResponses_ = false;
     bool isStopped_ = false;
+    bool isReporting_ = true;
     Milliseconds workTime_ { 0 };
     int status_ = 200;
     int slots_ = 2;
