--- a/review/shared-3/fleet.h
+++ b/review/shared-3/fleet.h
@@ -142,7 +142,7 @@
             const bool isAnswered = result.outcome == CallOutcome::Answered;
             record_.add(fmt::format("upstream {}: report {} is {}", options_.id, number,
                 isAnswered ? fmt::format("answered {}", result.response.status) : "not answered in a second"));
-        }, HttpClient_fresh);
+        }, Reuse::Forbidden);
         if (!isReporting_)
             return;
         timer_.expires_after(heartbeat);
@@ -163,7 +163,7 @@
             const int status = result.outcome == CallOutcome::Answered ? result.response.status : 0;
             record_.add(fmt::format("upstream {}: its DELETE is answered {}", options_.id, status));
             done(status);
-        }, HttpClient_fresh);
+        }, Reuse::Forbidden);
     }
 
     // Ends as in a crash.
@@ -179,8 +179,6 @@
     size_t runs() const { return runs_; }
 
 private:
-    static constexpr Reuse HttpClient_fresh = Reuse::Forbidden;
-
     void handle(const std::shared_ptr<HttpExchange>& exchange)
     {
         const HttpRequest& request = exchange->request();
@@ -268,8 +266,9 @@
         return machine;
     }
 
-    // Fills in the template of the settings as the platform does, with the figures of DEPLOY.md.
-    void startNode(Machine& machine)
+    // Fills in the template of the settings as the platform does, with the figures of DEPLOY.md. Returns the
+    // path of the file.
+    std::string writeSettings(const Machine& machine) const
     {
         const std::string path = directory_ + "/" + machine.name + ".ini";
         std::ofstream(path) << "[instance]\nname = " << machine.name << "\nzone = " << machine.zone
@@ -286,7 +285,12 @@
                                "retryBudgetSlack = 56\nquotaWindow = 5s\nquotaOverage = 0.1\nquotaSlack = 20\n"
                                "warmupOverload = 1.5\nwarmupSlack = 5\nevacuation = 5000ms\nrecovery = 15s\n"
                                "maxHold = 10000ms\nthawSlack = 300ms\n";
-        setenv("PERSIMMONFIELD_CONFIG", path.c_str(), 1);
+        return path;
+    }
+
+    void startNode(Machine& machine)
+    {
+        setenv("PERSIMMONFIELD_CONFIG", writeSettings(machine).c_str(), 1);
         record.add("node " + machine.name + " starts");
         machine.process = std::make_unique<persimmonfield::testing::Process>(
             std::vector<std::string> { "target/persimmonfield-platform" }, directory_ + "/" + machine.name + ".log");
