Review case 11: two holders after a lapsed lease was taken back and not confirmed

A node that is killed between the renewal of its lapsed lease and the write that gives up its ranges leaves a lease that looks sound. Its next process goes on with its ranges, while the planner's write that gives them away is under way.

--- a/review/shared-3/fleet.h
+++ b/review/shared-3/fleet.h
@@ -98,6 +98,14 @@
         Address address; // It listens on it.
         Address reportedAddress; // As its reports state it.
         Address control; // Of its node.
+        bool isKeyed = false; // It serves only the keys that it holds.
+    };
+
+    // An inclusive range of keys with its epoch number.
+    struct HeldRange {
+        int first = 0;
+        int last = 0;
+        int64_t fence = 0;
     };
 
     Upstream(asio::io_context& loop, Options options, Record& record)
@@ -133,14 +141,20 @@
 
     void report()
     {
-        const json body { { "service", options_.service }, { "address", options_.reportedAddress.text() },
+        json body { { "service", options_.service }, { "address", options_.reportedAddress.text() },
             { "zone", options_.zone }, { "version", "v1" }, { "slots", 12 }, { "state", state_ },
             { "warmupLeft", "0ms" }, { "sequence", ++sequence_ }, { "born", born_ } };
-        record_.add(fmt::format("upstream {} sends report {}, state {}", options_.id, sequence_, state_));
+        if (options_.isKeyed)
+            addKeys(body);
+        if (!options_.isKeyed)
+            record_.add(fmt::format("upstream {} sends report {}, state {}", options_.id, sequence_, state_));
         HttpRequest request { "PUT", "/instances/" + options_.id, { { "Content-Type", "application/json" } }, body.dump() };
-        clients_.back()->call(std::move(request), ackTimeout, [this, number = sequence_](const CallResult& result) {
+        clients_.back()->call(std::move(request), ackTimeout, [this, number = sequence_, sentAt = BootClock::now()](const CallResult& result) {
             const bool isAnswered = result.outcome == CallOutcome::Answered;
-            record_.add(fmt::format("upstream {}: report {} is {}", options_.id, number,
+            if (isAnswered && result.response.status == 200 && options_.isKeyed && number == sequence_)
+                applyKeys(result.response.body, sentAt);
+            if (!options_.isKeyed || !isAnswered)
+                record_.add(fmt::format("upstream {}: report {} is {}", options_.id, number,
                 isAnswered ? fmt::format("answered {}", result.response.status) : "not answered in a second"));
         }, Reuse::Forbidden);
         if (!isReporting_)
@@ -175,6 +189,13 @@
         record_.add(fmt::format("upstream {} crashes", options_.id));
     }
 
+    bool holds(int key) const
+    {
+        return BootClock::now() < holdsUntil_
+            && std::any_of(holds_.begin(), holds_.end(), [key](const HeldRange& range) { return range.first <= key && key <= range.last; });
+    }
+    const std::string& id() const { return options_.id; }
+
     void setRunHandler(std::function<void(const HttpRequest&)> handler) { onRun_ = std::move(handler); }
     size_t runs() const { return runs_; }
 
@@ -193,7 +214,9 @@
         const std::string* expected = request.header("Persimmonfield-Expect-Instance");
         if (id)
             response.headers.push_back({ "Persimmonfield-Request-Id", *id });
-        if (expected && *expected != options_.id) {
+        const std::string* key = request.header("Persimmonfield-Shard-Key");
+        const bool isOwner = !options_.isKeyed || (key && holds(std::atoi(key->c_str())));
+        if ((expected && *expected != options_.id) || !isOwner) {
             response.status = 421;
             response.headers.push_back({ "Persimmonfield-Not-Executed", "instance" });
             return exchange->respond(std::move(response));
@@ -208,10 +231,62 @@
         timer->async_wait([timer, exchange, response](std::error_code) { exchange->respond(response); });
     }
 
+    // Adds what it holds, and what it has released since its last acknowledged report.
+    void addKeys(json& body) const
+    {
+        json holds = json::array();
+        if (BootClock::now() < holdsUntil_) {
+            for (const HeldRange& range : holds_)
+                holds.push_back({ range.first, range.last, range.fence });
+        }
+        json released = json::array();
+        for (const HeldRange& range : released_)
+            released.push_back({ range.first, range.last, "5c0e7a21d94b36f8" });
+        body["holds"] = std::move(holds);
+        body["released"] = std::move(released);
+    }
+
+    // Takes the keys of an answer that arrived within a second. Whatever is left out is released.
+    void applyKeys(const std::string& text, TimePoint sentAt)
+    {
+        released_.clear();
+        const json answer = json::parse(text);
+        if (!answer.contains("holds"))
+            return;
+        std::vector<HeldRange> before = std::exchange(holds_, {});
+        if (BootClock::now() >= holdsUntil_)
+            before.clear();
+        for (const json& row : answer.at("holds"))
+            holds_.push_back({ row.at(0), row.at(1), row.at(2) });
+        holdsUntil_ = sentAt + Milliseconds(std::stoll(answer.at("hold_time").get<std::string>()));
+        std::string rows;
+        for (const HeldRange& range : holds_)
+            rows += fmt::format(" {} to {} at {},", range.first, range.last, range.fence);
+        if (std::exchange(rows_, rows) != rows)
+            record_.add(fmt::format("upstream {} now holds{}", options_.id, rows.empty() ? " nothing" : rows));
+        for (const HeldRange& range : before) {
+            const bool isKept = std::any_of(holds_.begin(), holds_.end(),
+                [&range](const HeldRange& each) { return each.first <= range.first && range.last <= each.last; });
+            if (!isKept)
+                released_.push_back(range);
+        }
+        if (!released_.empty() && isReporting_) {
+            timer_.expires_after(Milliseconds(50));
+            timer_.async_wait([this](std::error_code error) {
+                if (!error && !isDown_)
+                    report();
+            });
+        }
+    }
+
     asio::io_context& loop_;
     Options options_;
     Record& record_;
     HttpServer server_;
+    std::vector<HeldRange> holds_;
+    std::vector<HeldRange> released_;
+    TimePoint holdsUntil_;
+    std::string rows_;
     std::vector<std::unique_ptr<HttpClient>> clients_;
     asio::steady_timer timer_;
     int64_t born_;
@@ -233,6 +308,7 @@
     Address control = newAddress();
     Address upstream = newAddress(); // As the settings state it.
     Address upstreamListen = upstream; // Where the upstream listens, if a proxy is before it.
+    Address store; // Its way to the store, if that is not direct.
     int firstPort = 0;
     std::unique_ptr<persimmonfield::testing::Process> process;
     std::unique_ptr<HttpClient> client;
@@ -277,7 +353,7 @@
                             << "\nreadiness-address = " << machine.ready.text() << "\nhost = " << host
                             << "\ninternal-ports = " << machine.firstPort << "," << machine.firstPort + 1
                             << "\nserver-address = " << machine.upstream.text()
-                            << "\nstore-address = " << storeAddress_.text()
+                            << "\nstore-address = " << (machine.store.port > 0 ? machine.store : storeAddress_).text()
                             << "\nreport-interval = 870ms\n\n[machine]\ncores = 0.2\nmemory = 260\ndescriptors = 4100\n\n"
                                "[bounds]\nseedLag = 3s\naddrReuse = 2s\ncontact = 3000ms\nack = 4000ms\ncatchUp = 4s\n"
                                "drain = 2000ms\ngrace = 6s\nlossSlack = 200ms\nconfigApply = 2000ms\n"
@@ -342,6 +418,8 @@
             {} };
     }
 
+    const Address& storeAddress() const { return storeAddress_; }
+
     asio::io_context loop { 1 };
     Record record;
     std::unique_ptr<StandInStore> store;
