--- a/review/shared-3/staleconfig.cpp
+++ b/review/shared-3/staleconfig.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr const char* lostZone = "bzh-west-a";
-constexpr int machinesPerZone = 4;
 constexpr Milliseconds configApply { 2'000 };
 constexpr Milliseconds requestInterval { 50 };
 constexpr Milliseconds outage { 5'000 };
@@ -53,6 +52,8 @@
     const char* part = std::getenv("PART"); // One of the two disruptions alone: "loss" or "silence".
     const bool hasLoss = hasTrouble() && (!part || std::string(part) == "loss");
     const bool hasSilence = hasTrouble() && (!part || std::string(part) == "silence");
+    const char* size = std::getenv("MACHINES_PER_ZONE");
+    const int machinesPerZone = size ? std::atoi(size) : 4; // As at the site.
     Fleet fleet(recordPath);
     for (const char* zone : { lostZone, "bzh-west-b", "bzh-west-c" }) {
         for (int i = 0; i < machinesPerZone; ++i)
