Key ranges: an instance confirms its ranges by a write, after each start

What callers saw: an instance was cut off until its lease had lapsed, came back and was killed.

Cause: ranges were confirmed by reading the table, unless the process had itself found the mark of the lapse. Reading does not show a write that is under way. The mark is overwritten by the first renewal, before the ranges are given up; and other writes, such as one that an ended process has sent itself, leave no mark at all.

Change: after each acquisition of the lease, the instance writes each part of the table in which it owns ranges, conditionally on the revision read, before it grants any. Whatever was built on an earlier revision fails from then on, whoever sent it and however often the process was killed. An instance without ranges writes nothing. A lease lost during the confirmation has it begin anew.

--- a/src/ownership/keylease.cpp
+++ b/src/ownership/keylease.cpp
@@ -68,6 +68,7 @@
     end_ = TimePoint();
     wasLapsed_ = wasLapsed;
     needsConfirmation_ = true;
+    ++losses_;
 }
 
 bool KeyLeaseHolder::conflicted(const std::optional<stored::KeyLease>& found, int64_t revision)
--- a/src/ownership/keylease.h
+++ b/src/ownership/keylease.h
@@ -64,6 +64,8 @@
     void confirmed() { needsConfirmation_ = false; }
     // Whether the lease had been marked as lapsed or removed, so that other instances may have taken ranges.
     bool wasLapsed() const { return wasLapsed_; }
+    // How often the lease was lost. What was confirmed before a loss has to be confirmed again.
+    int64_t losses() const { return losses_; }
 
 private:
     std::string instance_;
@@ -81,6 +83,7 @@
     bool isRenewalInFlight_ = false;
     bool needsConfirmation_ = true;
     bool wasLapsed_ = false;
+    int64_t losses_ = 0;
 };
 
 // Monitors the key leases of other instances. An instance whose lease did not change for a whole term,
--- a/src/ownership/keytable.cpp
+++ b/src/ownership/keytable.cpp
@@ -362,6 +362,18 @@
     return std::min(leftPart, rightPart);
 }
 
+std::optional<int> firstPartOwnedBy(const stored::KeyTable& table, const std::string& instance, int from)
+{
+    std::optional<int> first;
+    for (const stored::KeyRange& range : table.ranges) {
+        const int part = partOf(table, range.first);
+        const bool isOwn = range.instance == instance && isOwned(range) && !isCarried(table, range);
+        if (isOwn && part >= from && (!first || part < *first))
+            first = part;
+    }
+    return first;
+}
+
 stored::KeyTable withPartOf(const stored::KeyTable& table, const stored::KeyTable& source, int part)
 {
     stored::KeyTable result = table;
--- a/src/ownership/keytable.h
+++ b/src/ownership/keytable.h
@@ -54,6 +54,9 @@
 // The first part whose ranges differ; nullopt if the tables are equal.
 std::optional<int> firstChangedPart(const stored::KeyTable& before, const stored::KeyTable& after);
 
+// The first part, from `from` on, in which the instance owns a range that is not carried.
+std::optional<int> firstPartOwnedBy(const stored::KeyTable& table, const std::string& instance, int from);
+
 // `table` with the ranges of one part from `source`.
 stored::KeyTable withPartOf(const stored::KeyTable& table, const stored::KeyTable& source, int part);
 
--- a/src/sidecar/keyleasemanager.h
+++ b/src/sidecar/keyleasemanager.h
@@ -45,6 +45,7 @@
     bool needsConfirmation() const { return own_.needsConfirmation(); }
     // Whether another instance had marked the lease as lapsed, so that ranges may have been reassigned.
     bool wasLapsed() const { return own_.wasLapsed(); }
+    int64_t losses() const { return own_.losses(); }
     void confirmed() { own_.confirmed(); }
     // The ranges could not be read; the next renewal requests the confirmation again.
     void confirmationFailed() { own_.failed(); }
--- a/src/sidecar/keyrangemanager.cpp
+++ b/src/sidecar/keyrangemanager.cpp
@@ -4,6 +4,8 @@
 #include "base/random.h"
 #include "sidecar/protocoladapter.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -70,13 +72,14 @@
     log(LogLevel::Info, "keys-remembered", { { "era", era }, { "ranges", own.size() } });
     recovery_.begin(std::move(own), grantableUntil(now), now);
     leases_.setEra(era);
+    if (confirmation_) {
+        abandonConfirmation();
+        leases_.confirmationFailed();
+    }
     // Whatever the write has done is gone. Its answer, if it still comes, is ignored.
     ++tableWrites_;
     retryTimer_.cancel();
-    const auto pending = std::exchange(pendingTable_, std::nullopt);
-    if (pending && pending->isConfirmation)
-        leases_.confirmationFailed();
-    else if (pending)
+    if (std::exchange(pendingTable_, std::nullopt))
         offload_.onWritten(false);
 }
 
@@ -118,7 +121,7 @@
 // Whether a write that is in progress or due now may result in keys for the server.
 bool KeyRangeManager::mayGrantSoon() const
 {
-    return pendingTable_ || isConfirmingRanges_ || leases_.needsConfirmation();
+    return pendingTable_ || leases_.needsConfirmation();
 }
 
 // Whether another instance is still to release a range whose target is this instance.
@@ -226,31 +229,71 @@
     return table;
 }
 
-// Called after the lease was acquired, for the first time or again. Another instance that has marked the
-// lease as lapsed may be about to reassign this instance's ranges. Therefore the table is read again. If the
-// lease had lapsed, this instance also gives up its ranges by a conditional write of the table, which makes
-// such a concurrent write fail.
+// Called after the lease was acquired, for the first time or again. A write that reassigns this instance's
+// ranges may still be under way: of an instance that has marked the lease as lapsed, or of an earlier run of
+// this one. Reading the table does not show such a write. Therefore this instance writes, by a condition on
+// the revision read, each part of the table in which it owns ranges, before it grants them: from then on the
+// other write fails. If the lease had lapsed, the write gives up the ranges.
 void KeyRangeManager::confirmRanges()
 {
-    if (std::exchange(isConfirmingRanges_, true))
+    if (confirmation_ && confirmation_->losses == leases_.losses())
         return;
+    abandonConfirmation();
+    confirmation_ = Confirmation { ++confirmations_, leases_.losses() };
     recovery_.forget();
-    options_.store->list(fleetKind, false, [this](const absl::StatusOr<StorePage>& page) {
-        isConfirmingRanges_ = false;
-        if (!page.ok())
-            return leases_.confirmationFailed();
-        options_.directory->apply(*page, true);
-        const auto* table = options_.directory->keyTable(options_.settings.service);
-        auto confirmed
-            = table && leases_.wasLapsed() ? clearOwners(table->value, options_.settings.name) : std::nullopt;
-        if (confirmed)
-            return writeTable(*confirmed, true);
-        endConfirmation();
-    });
+    options_.store->list(
+        fleetKind, false, [this, number = confirmations_](const absl::StatusOr<StorePage>& page) {
+            if (!confirmation_ || confirmation_->number != number)
+                return;
+            if (!page.ok()) {
+                confirmation_.reset();
+                return leases_.confirmationFailed();
+            }
+            options_.directory->apply(*page, true);
+            confirmNextPart();
+        });
+}
+
+void KeyRangeManager::confirmNextPart()
+{
+    if (confirmation_->losses != leases_.losses())
+        return confirmation_.reset();
+    const std::string& service = options_.settings.service;
+    const std::string& self = options_.settings.name;
+    const auto* table = options_.directory->keyTable(service);
+    if (!table)
+        return endConfirmation();
+    if (leases_.wasLapsed()) {
+        const auto cleared = clearOwners(table->value, self);
+        return cleared ? writeTable(firstWriteTo(*cleared, service, *options_.directory), true)
+                       : endConfirmation();
+    }
+    const auto part = firstPartOwnedBy(table->value, self, confirmation_->nextPart);
+    if (!part)
+        return endConfirmation();
+    confirmation_->nextPart = *part;
+    const std::string text
+        = fmt::format("{}.{}.{}", options_.incarnation, confirmation_->number, ++confirmation_->writes);
+    writeTable(confirmingWrite(*part, text, service, *options_.directory), true);
+}
+
+// The answers to what the confirmation has sent are ignored from now on.
+void KeyRangeManager::abandonConfirmation()
+{
+    confirmation_.reset();
+    if (!pendingTable_ || !pendingTable_->isConfirmation)
+        return;
+    pendingTable_.reset();
+    ++tableWrites_;
+    retryTimer_.cancel();
 }
 
 void KeyRangeManager::endConfirmation()
 {
+    log(LogLevel::Info, "ranges-confirmed",
+        { { "service", options_.settings.service }, { "ranges", ownRangeCount() },
+            { "writes", confirmation_->writes }, { "wasLapsed", leases_.wasLapsed() } });
+    confirmation_.reset();
     leases_.confirmed();
     options_.onChange();
     updateTable();
@@ -282,18 +325,16 @@
         return;
     }
     if (const auto table = nextTable(now))
-        writeTable(*table, false);
+        writeTable(firstWriteTo(*table, options_.settings.service, *options_.directory), false);
 }
 
-void KeyRangeManager::writeTable(const stored::KeyTable& table, bool isConfirmation)
+void KeyRangeManager::writeTable(KeyTableWrite write, bool isConfirmation)
 {
-    pendingTable_ = PendingTable { firstWriteTo(table, options_.settings.service, *options_.directory),
-        isConfirmation };
-    const KeyTableWrite& write = pendingTable_->write;
     log(LogLevel::Info, "key-table-written",
         { { "service", options_.settings.service }, { "object", write.objectName },
             { "ranges", write.value.ranges.size() }, { "builtOn", write.expectedRevision },
             { "isConfirmation", isConfirmation } });
+    pendingTable_ = PendingTable { std::move(write), isConfirmation };
     sendTable();
 }
 
@@ -347,12 +388,13 @@
     const bool isConfirmation = pendingTable_->isConfirmation;
     pendingTable_.reset();
     if (isConfirmation) {
-        const auto* table = options_.directory->keyTable(options_.settings.service);
-        const auto more
-            = isApplied && table ? clearOwners(table->value, options_.settings.name) : std::nullopt;
-        if (more)
-            return writeTable(*more, true);
-        return isApplied ? endConfirmation() : confirmRanges();
+        if (isApplied)
+            ++confirmation_->nextPart;
+        if (isApplied || result.object)
+            return confirmNextPart();
+        // Only a listing shows what has become of the object.
+        confirmation_.reset();
+        return confirmRanges();
     }
     offload_.onWritten(isApplied);
     if (!isApplied) {
--- a/src/sidecar/keyrangemanager.h
+++ b/src/sidecar/keyrangemanager.h
@@ -73,6 +73,8 @@
     void step();
     void scheduleStep();
     void confirmRanges();
+    void confirmNextPart();
+    void abandonConfirmation();
     void updateTable();
     std::optional<stored::KeyTable> nextTable(TimePoint now);
     std::optional<stored::KeyTable> tableAfterTransfer(
@@ -86,7 +88,7 @@
         const stored::KeyTable& table, const std::vector<KeyMember>& members) const;
     KnownKeyTable knownTable(const stored::KeyTable& table) const;
     int64_t newestLapsedRevision(const stored::KeyTable& table, TimePoint now) const;
-    void writeTable(const stored::KeyTable& table, bool isConfirmation);
+    void writeTable(KeyTableWrite write, bool isConfirmation);
     void sendTable();
     void endConfirmation();
     void onTableWritten(const StoreWriteResult& result);
@@ -130,7 +132,15 @@
     KeyLoad load_;
     TimePoint nextOffload_;
     KeyOffload offload_;
-    bool isConfirmingRanges_ = false;
+    // The confirmation of the ranges after the lease was acquired.
+    struct Confirmation {
+        int64_t number = 0;
+        int64_t losses = 0; // Of the lease when the confirmation began.
+        int nextPart = 0; // The parts before this one are confirmed.
+        int writes = 0;
+    };
+    std::optional<Confirmation> confirmation_;
+    int64_t confirmations_ = 0; // Begun so far.
     size_t lastMemberCount_ = 0;
     TimePoint membersStableSince_;
 };
--- a/src/sidecar/keytablewrite.cpp
+++ b/src/sidecar/keytablewrite.cpp
@@ -3,6 +3,22 @@
 #include "ownership/keytable.h"
 
 namespace persimmonfield {
+namespace {
+
+    // Writes one part of a table that is kept in several objects.
+    KeyTableWrite partWrite(
+        const stored::KeyTable& table, int part, const std::string& service, const FleetDirectory& directory)
+    {
+        KeyTableWrite write;
+        write.objectName = keyTablePartObjectName(service, part, directory.era());
+        write.value.service = service;
+        write.value.era = table.era;
+        write.value.ranges = rangesOfPart(table, part);
+        write.expectedRevision = directory.keyPartRevision(service, part);
+        return write;
+    }
+
+}
 
 KeyTableWrite firstWriteTo(
     const stored::KeyTable& table, const std::string& service, const FleetDirectory& directory)
@@ -31,10 +47,19 @@
         while (part + 1 < partCount(table) && directory.keyPartRevision(service, part) > 0)
             ++part;
     }
+    write = partWrite(table, part, service, directory);
     write.table = withPartOf(known->value, table, part);
-    write.objectName = keyTablePartObjectName(service, part, era);
-    write.value.ranges = rangesOfPart(table, part);
-    write.expectedRevision = directory.keyPartRevision(service, part);
+    return write;
+}
+
+KeyTableWrite confirmingWrite(
+    int part, const std::string& confirmation, const std::string& service, const FleetDirectory& directory)
+{
+    const stored::KeyTable& table = directory.keyTable(service)->value;
+    KeyTableWrite write = partCount(table) == 1 ? firstWriteTo(table, service, directory)
+                                                : partWrite(table, part, service, directory);
+    write.table = table;
+    write.value.confirmation = confirmation;
     return write;
 }
 
--- a/src/sidecar/keytablewrite.h
+++ b/src/sidecar/keytablewrite.h
@@ -20,4 +20,9 @@
 KeyTableWrite firstWriteTo(
     const stored::KeyTable& table, const std::string& service, const FleetDirectory& directory);
 
+// Writes a part of the known table without a change of its ranges, so that writes that are built on its
+// present revision fail. `confirmation` must differ from that of all other such writes.
+KeyTableWrite confirmingWrite(
+    int part, const std::string& confirmation, const std::string& service, const FleetDirectory& directory);
+
 }
--- a/tests/standins/loopback.cpp
+++ b/tests/standins/loopback.cpp
@@ -92,6 +92,33 @@
     answerWatches();
 }
 
+int64_t StandInStore::revisionOf(const std::string& kind, const std::string& name) const
+{
+    const auto found = objects_.find({ kind, name });
+    return found == objects_.end() || found->second.isDeleted ? 0 : found->second.revision;
+}
+
+bool StandInStore::putIfUnchanged(
+    const std::string& kind, const std::string& name, const json& value, int64_t revision)
+{
+    if (revisionOf(kind, name) != revision)
+        return false;
+    put(kind, name, value);
+    return true;
+}
+
+void StandInStore::holdWrites(const std::string& kind, const std::string& namePrefix)
+{
+    heldObjects_ = { kind, namePrefix };
+}
+
+void StandInStore::carryOutHeldWrites()
+{
+    heldObjects_.reset();
+    for (const HeldWrite& held : std::exchange(heldWrites_, {}))
+        write(held.exchange, held.kind, held.name, held.isStatus);
+}
+
 json StandInStore::value(const std::string& kind, const std::string& name) const
 {
     const auto found = objects_.find({ kind, name });
@@ -213,6 +240,12 @@
     const json body = json::parse(exchange->request().body.text());
     const json& metadata = body.at("metadata");
     const Key key { kind, name.empty() ? metadata.at("name").get<std::string>() : name };
+    const bool isHeld = heldObjects_ && heldObjects_->first == kind
+        && key.second.compare(0, heldObjects_->second.size(), heldObjects_->second) == 0;
+    if (isHeld) {
+        heldWrites_.push_back({ exchange, kind, name, isStatus });
+        return;
+    }
     const auto known = objects_.find(key);
     const bool exists = known != objects_.end() && !known->second.isDeleted;
     const bool isCreation = exchange->request().method == "POST";
--- a/tests/standins/loopback.h
+++ b/tests/standins/loopback.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -48,6 +49,16 @@
     // Applies the next `count` writes without sending a response.
     void dropNextWriteResponses(int count) { responsesToDrop_ = count; }
 
+    // The revision of an object; 0 if it does not exist.
+    int64_t revisionOf(const std::string& kind, const std::string& name) const;
+    // Carries out a conditional write that was sent long ago. Returns whether its condition still holds.
+    bool putIfUnchanged(
+        const std::string& kind, const std::string& name, const nlohmann::json& value, int64_t revision);
+    // Writes of these objects are carried out only by carryOutHeldWrites(), as those of a late store.
+    void holdWrites(const std::string& kind, const std::string& namePrefix);
+    size_t heldWrites() const { return heldWrites_.size(); }
+    void carryOutHeldWrites();
+
     // Keeps a copy of all objects, and goes back to it: revisions are given out again, and all answers state
     // one era more. Open watches are cut off.
     void keepCopy() { copy_ = { objects_, revision_ }; }
@@ -78,6 +89,12 @@
         int64_t after = 0;
         std::shared_ptr<HttpExchange> exchange;
     };
+    struct HeldWrite {
+        std::shared_ptr<HttpExchange> exchange;
+        std::string kind;
+        std::string name;
+        bool isStatus = false;
+    };
     using Key = std::pair<std::string, std::string>;
 
     void handle(const std::shared_ptr<HttpExchange>& exchange);
@@ -111,6 +128,8 @@
     std::string withheldKind_;
     std::vector<std::shared_ptr<HttpExchange>> withheld_;
     std::vector<std::shared_ptr<HttpExchange>> unansweredWrites_;
+    std::optional<Key> heldObjects_; // The kind and the prefix of the names.
+    std::vector<HeldWrite> heldWrites_;
 };
 
 struct StandInServerOptions {
