Change feed: a follower relies on nothing older than 1.5 s

What callers saw: a zone lost power and the store fell silent to one instance of each other zone.

Cause: a follower took an instance that answers for one that is current. It shared each wait of that one, whose sum is 3 s: the probe of a quiet store, the suspicion of its silence, three relays that fail, the direct call that is silent.

Change: a watcher tells its followers when a direct answer of the store has last shown that it misses no change. A follower counts from that time by its own clock, whoever it follows; after 1.5 s it asks the store by one stale read whether it responds, and watches it if so. An instance that is not current takes on no new followers. If the store responds to nobody, followers go on as before.

--- a/src/sidecar/changefeedfollower.cpp
+++ b/src/sidecar/changefeedfollower.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -20,6 +21,15 @@
     constexpr Milliseconds avoidedAfterFailure { 10'000 };
     // An instance that refuses may be about to begin to watch the store.
     constexpr Milliseconds avoidedAfterRefusal { 1'000 };
+    // An instance to which the store was silent may soon be current again.
+    constexpr Milliseconds avoidedAfterStaleness { 2'000 };
+    // While the followed instance is not current, the store is asked this often whether it responds to this
+    // one. It is longer than the response time of a slow store.
+    constexpr Milliseconds storeCheckInterval { 1'000 };
+    constexpr Milliseconds storeCheckTimeout { 500 };
+    // When the store responds again, it probably does so to the followed instance as well.
+    constexpr Milliseconds recoveryTime { 500 };
+    constexpr int64_t maxAgeMs = 3'600'000; // Of a message; larger values are not valid.
 
 }
 
@@ -32,6 +42,7 @@
     , store_(store)
     , server_(server)
     , timer_(loop)
+    , currentTimer_(loop)
 {
 }
 
@@ -92,6 +103,7 @@
         return setFollowing(false);
     // The changes come from the former instance, or from watches, until the new one has answered.
     formerLink_ = std::exchange(link_, 0);
+    formerCurrentAt_ = std::exchange(linkCurrentAt_, TimePoint());
     request(now);
 }
 
@@ -122,6 +134,9 @@
     }
     if (isCurrent) {
         isAwaitingPage_ = false;
+        const bool isNew = formerLink_ != 0 || !store_.isFollowing();
+        if (isNew && BootClock::now() - linkCurrentAt_ >= maxFeedAge)
+            return leave(avoidedAfterStaleness, "not-current");
         formerLink_ = 0;
         setFollowing(true);
     }
@@ -139,6 +154,52 @@
         request(BootClock::now());
 }
 
+void ChangeFeedFollower::onStatus(LinkId link, const peer::FeedStatus& status)
+{
+    const TimePoint at = BootClock::now() - Milliseconds(std::clamp<int64_t>(status.ageMs, 0, maxAgeMs));
+    if (link == link_)
+        linkCurrentAt_ = at;
+    else if (link == formerLink_)
+        formerCurrentAt_ = at;
+}
+
+void ChangeFeedFollower::checkAfter(Duration time)
+{
+    currentTimer_.expires_after(time);
+    currentTimer_.async_wait([this](std::error_code error) {
+        if (!error)
+            checkCurrent();
+    });
+}
+
+// Asks the store whether it responds to this instance once the changes passed on have become too old. If it
+// responds to neither, nothing is gained by watching it.
+void ChangeFeedFollower::checkCurrent()
+{
+    if (!store_.isFollowing() || isCheckingStore_)
+        return;
+    const Duration left = currentAt() + maxFeedAge - BootClock::now();
+    if (left > Duration::zero())
+        return checkAfter(left);
+    isCheckingStore_ = true;
+    store_.checkStore(storeCheckTimeout, [this](bool hasResponded) { onStoreChecked(hasResponded); });
+}
+
+void ChangeFeedFollower::onStoreChecked(bool hasResponded)
+{
+    isCheckingStore_ = false;
+    const bool wasSilent = std::exchange(wasStoreSilent_, !hasResponded);
+    if (!store_.isFollowing())
+        return;
+    if (BootClock::now() - currentAt() < maxFeedAge)
+        return checkCurrent();
+    if (!hasResponded)
+        return checkAfter(storeCheckInterval);
+    if (wasSilent)
+        return checkAfter(recoveryTime);
+    leave(avoidedAfterStaleness, "not-current");
+}
+
 void ChangeFeedFollower::onRefusal(LinkId link)
 {
     if (link == link_ && !followed_.empty())
@@ -154,18 +215,26 @@
 // Watches the store again until another instance has answered.
 void ChangeFeedFollower::leave(Duration avoidedFor, const char* cause)
 {
-    log(LogLevel::Info, "feed-left", { { "from", followed_ }, { "cause", cause } });
+    const auto age = std::chrono::duration_cast<Milliseconds>(BootClock::now() - linkCurrentAt_);
+    log(LogLevel::Info, "feed-left",
+        { { "from", followed_ }, { "cause", cause },
+            { "currentMsAgo",
+                linkCurrentAt_ == TimePoint() ? nlohmann::json() : nlohmann::json(age.count()) } });
     avoidedUntil_[followed_] = BootClock::now() + avoidedFor;
     followed_.clear();
     link_ = formerLink_ = 0;
+    linkCurrentAt_ = formerCurrentAt_ = TimePoint();
     isAwaitingPage_ = false;
     setFollowing(false);
 }
 
 void ChangeFeedFollower::setFollowing(bool isFollowing)
 {
+    const bool wasFollowing = store_.isFollowing();
     store_.setFollowing(isFollowing);
     server_.setServing(!isFollowing);
+    if (isFollowing && !wasFollowing)
+        checkCurrent();
 }
 
 }
--- a/src/sidecar/changefeedserver.cpp
+++ b/src/sidecar/changefeedserver.cpp
@@ -13,6 +13,8 @@
     constexpr Milliseconds followTime { 6'000 };
     constexpr size_t maxKeptBytes = 512UL * 1024; // Of one kind.
     constexpr size_t maxKeptChanges = 256;
+    // Followers are told at most this often how current they are.
+    constexpr Milliseconds statusInterval { 200 };
 
 }
 
@@ -109,13 +111,37 @@
         refuse(link);
 }
 
+void ChangeFeedServer::setCurrentAt(TimePoint at)
+{
+    currentAt_ = at;
+    const TimePoint now = BootClock::now();
+    if (now < nextStatus_)
+        return;
+    nextStatus_ = now + statusInterval;
+    for (const auto& [link, until] : followers_)
+        sendStatus(link, now);
+}
+
+void ChangeFeedServer::sendStatus(LinkId link, TimePoint now)
+{
+    peer::PeerMessage message;
+    message.feedStatus
+        = peer::FeedStatus { std::chrono::duration_cast<Milliseconds>(now - currentAt_).count() };
+    network_.send(link, { message, {} });
+}
+
 void ChangeFeedServer::onRequest(LinkId link, const peer::FeedRequest& request)
 {
     const auto isKnown
         = [this](const peer::FeedPosition& position) { return logs_.count(position.kind) > 0; };
-    if (!isServing_ || !std::all_of(request.positions.begin(), request.positions.end(), isKnown))
+    const TimePoint now = BootClock::now();
+    // Those that follow already decide themselves whether the changes are current enough.
+    const bool mayFollow = now - currentAt_ < maxFeedAge || followers_.count(link) > 0;
+    if (!isServing_ || !mayFollow
+        || !std::all_of(request.positions.begin(), request.positions.end(), isKnown))
         return refuse(link);
-    followers_[link] = BootClock::now() + followTime;
+    followers_[link] = now + followTime;
+    sendStatus(link, now);
     for (const peer::FeedPosition& position : request.positions)
         sendChanges(link, position.kind, position.revision);
 }
--- a/src/sidecar/changefeedserver.h
+++ b/src/sidecar/changefeedserver.h
@@ -11,6 +11,11 @@
 
 namespace persimmonfield {
 
+// Changes that come from another instance are relied on for this long after the store's answer that has shown
+// that none is missing. It is longer than the interval at which a quiet store is probed, and short enough
+// that a change can still be read from the store within the two seconds for a configuration.
+inline constexpr Milliseconds maxFeedAge { 1'500 };
+
 // Passes the changes that this instance's watches of the store deliver on to the instances that follow it, so
 // that the number of watches does not grow with the fleet. Recent changes are kept for instances that begin
 // to follow.
@@ -24,6 +29,9 @@
     // Whether this instance watches the store itself. If not, it refuses to be followed.
     void setServing(bool isServing);
 
+    // No change is missing that was made before `at`. The followers are told.
+    void setCurrentAt(TimePoint at);
+
     void onRequest(LinkId link, const peer::FeedRequest& request);
     void onClosed(LinkId link) { followers_.erase(link); }
 
@@ -48,10 +56,13 @@
     void sendChanges(LinkId link, const std::string& kind, int64_t revision);
     void send(LinkId link, const std::string& kind, const Change& change);
     void refuse(LinkId link);
+    void sendStatus(LinkId link, TimePoint now);
 
     PeerNetwork& network_;
     std::string self_;
     bool isServing_ = false;
+    TimePoint currentAt_;
+    TimePoint nextStatus_;
     std::map<std::string, KindLog> logs_; // By kind.
     std::map<LinkId, TimePoint> followers_; // The time until which they follow unless they ask again.
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -160,6 +160,8 @@
     store_.setPageObserver([this](const std::string& kind, const StorePage& page, bool isFullListing) {
         feedServer_->record(kind, page, isFullListing);
     });
+    store_.setCurrentHandler([this](TimePoint at) { feedServer_->setCurrentAt(at); });
+    transport_.setAnswerHandler([this] { store_.onDirectAnswer(); });
     peerCalls_ = std::make_unique<PeerCalls>(*network_);
     peerRequestHandler_ = std::make_unique<PeerRequestHandler>(*gate_, *network_, memory_);
     teamLimits_ = std::make_unique<TeamLimits>(loop_, settings_.name, directory_, *network_, counters_);
--- a/src/sidecar/sidecarframes.cpp
+++ b/src/sidecar/sidecarframes.cpp
@@ -40,6 +40,8 @@
         onFeedRequest(link, *message.feedRequest);
     else if (message.feedPage)
         feedFollower_->onPage(link, *message.feedPage, frame.body);
+    else if (message.feedStatus)
+        feedFollower_->onStatus(link, *message.feedStatus);
     else if (message.feedRefusal)
         feedFollower_->onRefusal(link);
     else if (message.crashCounts)
--- a/src/store/kindwatch.h
+++ b/src/store/kindwatch.h
@@ -60,6 +60,12 @@
         listBothWays();
     }
 
+    // Whether a change would be delivered; changes of a kind with an interval may always come late.
+    bool isOpen() const
+    {
+        return interval_ > Milliseconds(0) || phase_ == Phase::Watching || phase_ == Phase::Pausing;
+    }
+
     void setInterval(Milliseconds interval) { interval_ = interval; }
 
     void setFollowing(bool isFollowing)
@@ -244,10 +250,13 @@
             return;
         const bool isEmpty = isFullListing && page.objects.empty();
         const bool isPaced = interval_ > Milliseconds(0);
-        if (!isEmpty || isPaced || session_->isFollowing_ || pendingRevision_ > revision_)
-            return scheduleWatch();
-        enterPhase(Phase::Pausing);
-        runAfter(emptyKindDelay, [this] { scheduleWatch(); });
+        if (!isEmpty || isPaced || session_->isFollowing_ || pendingRevision_ > revision_) {
+            scheduleWatch();
+        } else {
+            enterPhase(Phase::Pausing);
+            runAfter(emptyKindDelay, [this] { scheduleWatch(); });
+        }
+        session_->onDirectAnswer();
     }
 
     void retry(const absl::Status& cause)
--- a/src/store/storesession.cpp
+++ b/src/store/storesession.cpp
@@ -69,6 +69,7 @@
 
 void StoreSession::probe(const std::string& kind, Milliseconds interval)
 {
+    probedKind_ = kind;
     const Duration sinceLastAnswer = BootClock::now() - transport_.lastAnswerAt();
     const bool isDue = sinceLastAnswer >= interval;
     // While the store is unreachable, the watches retry it.
@@ -97,6 +98,30 @@
     });
 }
 
+void StoreSession::onDirectAnswer()
+{
+    const bool areAllOpen = std::all_of(
+        watches_.begin(), watches_.end(), [](const auto& watch) { return watch.second->isOpen(); });
+    // Pages that came through another instance do not show that the direct watches are alive.
+    if (!areAllOpen || transport_.lastAnswerAt() <= currentAt_)
+        return;
+    currentAt_ = transport_.lastAnswerAt();
+    if (onCurrent_)
+        onCurrent_(currentAt_);
+}
+
+void StoreSession::checkStore(Milliseconds timeout, const std::function<void(bool hasResponded)>& done)
+{
+    countCall("list", probedKind_, true);
+    transport_.callOnlyDirectly(
+        dialect_.list(probedKind_, {}, true), timeout, [this, done](const CallResult& result) {
+            const bool hasResponded = isOfStore(result) && eraOfAnswer(result);
+            if (!hasResponded)
+                transport_.closeIdle();
+            done(hasResponded);
+        });
+}
+
 void StoreSession::observeEra(int64_t era)
 {
     if (era > maxEra || (isEraKnown_ && era <= era_))
--- a/src/store/storesession.h
+++ b/src/store/storesession.h
@@ -90,6 +90,16 @@
     void setFollowing(bool isFollowing);
     bool isFollowing() const { return isFollowing_; }
 
+    // The handler gets the time of a direct response of the store which shows that no change is missing of
+    // the kinds without a watch interval: all of them are being watched. Called whenever that time advances.
+    void setCurrentHandler(std::function<void(TimePoint at)> handler) { onCurrent_ = std::move(handler); }
+
+    // Must be called when the store has responded to a direct call.
+    void onDirectAnswer();
+
+    // Makes a stale read of the probed kind, only directly. `done` gets whether the store has responded.
+    void checkStore(Milliseconds timeout, const std::function<void(bool hasResponded)>& done);
+
     // The revisions up to which the watched kinds are known; none for a kind that is being listed.
     std::map<std::string, int64_t> revisions() const;
 
@@ -144,6 +154,9 @@
     StoreRetryBackoff backoff_;
     Counters* counters_ = nullptr;
     PageObserver pageObserver_;
+    std::function<void(TimePoint at)> onCurrent_;
+    TimePoint currentAt_;
+    std::string probedKind_;
     bool isFollowing_ = false;
     int64_t era_ = 0;
     bool isEraKnown_ = false;
--- a/src/store/storetransport.cpp
+++ b/src/store/storetransport.cpp
@@ -169,6 +169,8 @@
         nextDirectAttempt_ = now + directRetryInterval;
     if (std::exchange(isReachable_, isSuccess) != isSuccess && onReachabilityChanged_)
         onReachabilityChanged_(isSuccess);
+    if (isSuccess && onAnswer_)
+        onAnswer_();
 }
 
 }
--- a/src/store/storetransport.h
+++ b/src/store/storetransport.h
@@ -44,6 +44,12 @@
     // Closes idle connections. To be called when connections seem to be dead, so that they are not reused.
     void closeIdle() { client_.closeIdle(); }
 
+    // Calls the store only directly, also while it seems to be unreachable.
+    void callOnlyDirectly(const HttpRequest& request, Duration timeout, const Done& done)
+    {
+        callDirectly(request, timeout, done);
+    }
+
     // Calls the store on behalf of another instance, only directly. Returns false if the store is unavailable
     // to this instance as well.
     bool callForPeer(const HttpRequest& request, Duration timeout, const Done& done);
@@ -54,6 +60,9 @@
         onReachabilityChanged_ = std::move(handler);
     }
 
+    // The handler is called after each response of the store to a direct call, before the call's `done`.
+    void setAnswerHandler(std::function<void()> handler) { onAnswer_ = std::move(handler); }
+
     bool isReachable() const { return isReachable_; }
 
     // The time of the store's last response to a direct call.
@@ -70,6 +79,7 @@
     Relay relay_;
     std::function<void()> skipRelay_;
     std::function<void(bool)> onReachabilityChanged_;
+    std::function<void()> onAnswer_;
     bool isReachable_ = true;
     TimePoint nextDirectAttempt_;
     TimePoint lastAnswerAt_;
--- a/tests/sidecar/rollouts.cpp
+++ b/tests/sidecar/rollouts.cpp
@@ -29,7 +29,8 @@
         // The third instance has no proxy here.
         startInstances({ "orders", "orders" });
         for (const int index : { 3, 4 })
-            instances.push_back(std::make_unique<Instance>(loop, index, "orders", canEnd, "v2", canaryShare));
+            instances.push_back(
+                std::make_unique<Instance>(loop, settingsOf(index, "orders", canaryShare), canEnd, "v2"));
         CHECK(runUntil([this] { return isServing(); }));
         CHECK(runUntil([this] { return statusOf(0, lookupRequest("first")) == 200; }));
         CHECK(runUntil([this] { return store->openWatches(kind) >= watchers; }));
--- a/tests/sidecar/sidecar.cpp
+++ b/tests/sidecar/sidecar.cpp
@@ -438,7 +438,7 @@
             { "server",
                 { { "id", "s" }, { "startedMs", 1 }, { "slots", 1e300 }, { "readiness", "ready" } } } });
     store->put(fleetKind, "keys.gallery", { { "ranges", "none" } });
-    instances.push_back(std::make_unique<Instance>(loop, 0, "orders"));
+    instances.push_back(std::make_unique<Instance>(loop, settingsOf(0, "orders")));
     CHECK(runUntil([this] { return !store->value(fleetKind, "instance.odd").is_null(); }));
     runFor(Milliseconds(500));
     store->put(fleetKind, "secret", { { "secret", "of the links" } });
--- a/tests/sidecar/sidecarfleet.h
+++ b/tests/sidecar/sidecarfleet.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -79,10 +80,10 @@
 // A server and the sidecar next to it. With `hasOwnLoop` the sidecar runs on its own loop, so that a test can
 // end its process.
 struct Instance {
-    // `version` is that of the server. Roll-outs are possible if the canary share is not 0.
-    Instance(asio::io_context& loop, int index, const std::string& service, bool hasOwnLoop = false,
-        const std::string& version = {}, double canaryShare = 0, Milliseconds reportTimeout = longTime)
-        : settings(settingsOf(index, service, canaryShare, reportTimeout))
+    // `version` is that of the server.
+    Instance(asio::io_context& loop, SidecarSettings instanceSettings, bool hasOwnLoop = false,
+        const std::string& version = {})
+        : settings(std::move(instanceSettings))
         , process(hasOwnLoop ? std::make_unique<asio::io_context>(1) : nullptr)
         , sidecar(Sidecar::Builder()
                       .setSettings(settings)
@@ -135,6 +136,7 @@
 
     SidecarSettings settings;
     std::unique_ptr<asio::io_context> process;
+    bool isFrozen = false; // Does nothing, but its sockets stay open. Only with an own loop.
     std::unique_ptr<Sidecar> sidecar;
     std::unique_ptr<StandInServer> server;
     std::vector<std::unique_ptr<StandInServer>> stoppedServers;
@@ -151,6 +153,7 @@
     bool canAllEnd = false; // Whether each instance has its own loop.
     double canaryShare = 0;
     Milliseconds reportTimeout = longTime; // Of the instances' settings.
+    std::map<int, Address> storeAddresses; // By index, of the instances that reach the store in another way.
     std::vector<std::string> versions; // Of the servers, by the index of their instances; others have none.
 
     void setup() override
@@ -165,8 +168,10 @@
             const auto index = static_cast<int>(instances.size());
             const bool canEnd = canAllEnd || (canFirstEnd && index == 0);
             const std::string version = instances.size() < versions.size() ? versions[instances.size()] : "";
-            instances.push_back(std::make_unique<Instance>(
-                loop, index, service, canEnd, version, canaryShare, reportTimeout));
+            SidecarSettings settings = settingsOf(index, service, canaryShare, reportTimeout);
+            if (const auto address = storeAddresses.find(index); address != storeAddresses.end())
+                settings.storeAddress = address->second;
+            instances.push_back(std::make_unique<Instance>(loop, std::move(settings), canEnd, version));
         }
         CHECK(runUntil([this] { return isServing(); }));
     }
@@ -203,6 +208,8 @@
                 if (!instance->process)
                     continue;
                 hasProcesses = true;
+                if (instance->isFrozen)
+                    continue;
                 instance->process->restart();
                 instance->process->poll();
             }
