Key leases: an unanswered renewal in a new era keeps only a lease that has not ended

After a restore of the store, a lease that had ended when it was first renewed was held without a new confirmation, if that renewal took effect and its response was lost.

Cause: the next renewal found this instance's own value, and took the lease for one that it had never lost. With a response it would have been lost (KeyLeaseHolder::renewed).

Change: the first renewal in an era keeps the lease only if it was sent before the lease's end, with or without a response.

--- a/src/ownership/keylease.cpp
+++ b/src/ownership/keylease.cpp
@@ -77,15 +77,18 @@
     nextRenewal_ = sentAt_;
     // What was written in an earlier era is what a copy of the store has, or came late.
     const bool isOfEarlierEra = found ? found->era.value_or(0) < era_ : isNewEra_;
-    const bool isOwn
-        = isOfEarlierEra ? sentAt_ < end_ : found && found->incarnation == incarnation_ && !found->lapsed;
+    const bool isHeld = !isOfEarlierEra && found && found->incarnation == incarnation_ && !found->lapsed;
+    // The first renewal in an era keeps the lease only if it was sent before the lease's end, whether or not
+    // its response has arrived.
+    const bool isInTime = sentAt_ < end_;
+    const bool isOwn = isOfEarlierEra ? isInTime : isHeld && (isInTime || !isNewEra_);
     isNewEra_ = isNewEra_ && isOfEarlierEra;
     // If the lease is still our own, an earlier renewal took effect although its response was lost. The next
     // renewal expects the revision found.
     revision_ = revision;
     if (isOwn)
         return false;
-    lose(!found || found->lapsed || isOfEarlierEra);
+    lose(!found || found->lapsed || isOfEarlierEra || isHeld);
     return true;
 }
 
--- a/tests/ownership/keytable.cpp
+++ b/tests/ownership/keytable.cpp
@@ -450,6 +450,27 @@
     }
 }
 
+// A lease that had ended by the time of its first renewal in a new era was kept without a confirmation if
+// that renewal was not answered.
+TEST(KeyLease, AnUnansweredRenewalInANewEraKeepsOnlyALeaseThatHasNotEnded)
+{
+    for (const bool isInTime : { true, false }) {
+        KeyLeaseHolder restored("a", "1", timing);
+        restored.dueRenewal(start);
+        restored.renewed(5);
+        restored.confirmed();
+        restored.setEra(1);
+        const TimePoint sentAt = start + timing.term - Milliseconds(isInTime ? 1'000 : 0);
+        const auto renewal = restored.dueRenewal(sentAt);
+        restored.failed();
+        restored.dueRenewal(sentAt + Milliseconds(300));
+        CHECK(restored.conflicted(renewal->lease, 7) == !isInTime);
+        LONGS_EQUAL(7, restored.dueRenewal(sentAt + Milliseconds(300))->expectedRevision);
+        restored.renewed(8);
+        CHECK(restored.needsConfirmation() == !isInTime);
+    }
+}
+
 TEST(KeyLease, AMarkOfAnEarlierEraCountsOnlyAfterATerm)
 {
     KeyLeaseMonitor monitor(timing);
